--- /dev/null
+++ b/control/control_process.cc
@@ -0,0 +1,370 @@
+#include "control/control_process.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "common/logging.h"
+#include "common/metrics.h"
+#include "common/process.h"
+#include "control/platform_list.h"
+#include "core/cbor_codec.h"
+#include "core/control_core.h"
+#include "net/admin_pages.h"
+#include "net/control_protocol.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "storage/raft_storage.h"
+
+namespace ramppond {
+namespace {
+
+constexpr auto kTickInterval = std::chrono::milliseconds(10);
+constexpr Duration kPlatformInterval = seconds(1);
+constexpr Duration kPlatformTimeout = seconds(2);
+constexpr Duration kRaftTimeout = milliseconds(400);
+constexpr Duration kMemberTimeout = milliseconds(800);
+constexpr std::size_t kMaximumMessageBytes = 256 << 20;
+// Messages that wait for a member that does not answer; Raft repeats what is dropped.
+constexpr std::size_t kMaximumQueuedMessages = 256;
+constexpr int kServerThreads = 2;
+
+}  // namespace
+
+// One thread owns the core and the storage; all others hand it events. So whatever arrives while
+// it syncs is taken in one go and shares the next sync (group commit).
+class ControlProcess::Impl {
+ public:
+  explicit Impl(ControlSettings settings)
+      : settings_(std::move(settings)),
+        files_(settings_.data_folder),
+        storage_(files_),
+        client_(HttpClientOptions{}) {}
+  ~Impl() { stop(); }
+
+  std::optional<std::string> start();
+  void stop();
+
+ private:
+  using Event = std::function<void(TimePoint)>;
+  /// Raft messages for one member: one POST at a time, the rest waits and goes together.
+  struct MemberLink {
+    RaftBatch waiting;
+    bool busy = false;
+  };
+
+  void startServers();
+  void post(Event event);
+  void run();
+  void work(TimePoint now);
+  void carryOut(const ControlWork& work);
+  void onHttp(HttpToken token, const HttpRequest& request);
+  void queueRaft(const RaftMessage& message);
+  void flushLink(const std::string& address);
+  void askPlatform(TimePoint now);
+  void sendMemberRequest(const MemberRequest& request);
+  void reportChanges();
+  MetricsPage metrics();
+
+  ControlSettings settings_;
+  PosixFileSystem files_;
+  RaftStorage storage_;
+  std::unique_ptr<ControlCore> core_;
+  std::mutex core_mutex_;  ///< For the admin page only; the loop thread is the one other user.
+  std::map<std::string, MemberLink> links_;
+  TimePoint next_platform_{0};
+  std::string reported_state_;
+
+  std::mutex mutex_;  ///< Guards `events_`.
+  std::condition_variable wake_;
+  std::vector<Event> events_;
+  std::atomic<bool> stopping_{false};
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<AdminPages> admin_;
+  std::thread loop_;
+  HttpClient client_;
+};
+
+std::optional<std::string> ControlProcess::Impl::start() {
+  if (auto error = files_.prepare()) {
+    return error;
+  }
+  if (auto error = storage_.open(randomNumber())) {
+    return settings_.data_folder + "/" + *error;
+  }
+  ControlOptions options;
+  options.name = settings_.name;
+  options.address = settings_.address.toString();
+  options.entries_per_snapshot = settings_.entries_per_snapshot;
+  options.raft.id = storage_.id();
+  options.raft.election_timeout = settings_.election_timeout;
+  options.raft.heartbeat_interval = settings_.heartbeat_interval;
+  options.raft.random_seed = randomNumber();
+  core_ = std::make_unique<ControlCore>(options, storage_.takeRecovery(), monotonicNow());
+  startServers();
+  if (auto error = server_->start()) {
+    return error;
+  }
+  if (auto error = admin_->start()) {
+    return error;
+  }
+  loop_ = std::thread([this] { run(); });
+  logChange("started", {{"name", settings_.name},
+                        {"address", settings_.address.toString()},
+                        {"id", std::to_string(storage_.id())}});
+  return std::nullopt;
+}
+
+void ControlProcess::Impl::startServers() {
+  HttpServerOptions options;
+  options.listen = settings_.address;
+  options.threads = kServerThreads;
+  options.maximum_request_bytes = kMaximumMessageBytes;
+  server_ = std::make_unique<HttpServer>(
+      options, [this](HttpToken token, const HttpRequest& request) { onHttp(token, request); },
+      [this](HttpToken token) {
+        post([this, token](TimePoint) { core_->onRequesterGone(token); });
+      });
+  admin_ = std::make_unique<AdminPages>(settings_.admin, "ramppond-control " + settings_.name,
+                                        [this] { return metrics(); });
+}
+
+void ControlProcess::Impl::stop() {
+  if (stopping_.exchange(true)) {
+    return;
+  }
+  if (server_ != nullptr) {
+    server_->stop();
+  }
+  wake_.notify_one();
+  if (loop_.joinable()) {
+    loop_.join();
+    logChange("stopped", {});
+  }
+}
+
+void ControlProcess::Impl::post(Event event) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    events_.push_back(std::move(event));
+  }
+  wake_.notify_one();
+}
+
+void ControlProcess::Impl::run() {
+  while (!stopping_) {
+    std::vector<Event> events;
+    {
+      std::unique_lock<std::mutex> lock(mutex_);
+      wake_.wait_for(lock, kTickInterval, [this] { return !events_.empty() || stopping_; });
+      events.swap(events_);
+    }
+    const std::lock_guard<std::mutex> lock(core_mutex_);
+    const TimePoint now = monotonicNow();
+    for (const Event& event : events) {
+      event(now);
+    }
+    work(now);
+  }
+}
+
+void ControlProcess::Impl::work(TimePoint now) {
+  core_->tick(now, wallClockMs());
+  for (;;) {
+    const ControlWork work = core_->take(now);
+    if (work.empty()) {
+      break;
+    }
+    const bool durable =
+        storage_.persist(work.raft) && (!work.snapshot || storage_.saveSnapshot(*work.snapshot));
+    if (!durable) {
+      // What is on disk is unknown now, so nothing may be promised any more.
+      logChange("storage_failed", {{"folder", settings_.data_folder}});
+      std::_Exit(EXIT_FAILURE);
+    }
+    carryOut(work);
+    core_->done(work, now);
+  }
+  reportChanges();
+  if (now >= next_platform_ && !settings_.platform_url.empty()) {
+    next_platform_ = now + kPlatformInterval;
+    askPlatform(now);
+  }
+}
+
+void ControlProcess::Impl::carryOut(const ControlWork& work) {
+  for (const RaftMessage& message : work.raft.messages) {
+    queueRaft(message);
+  }
+  for (const ControlAnswer& answer : work.answers) {
+    HttpResponse response;
+    response.content_type = kCborType;
+    response.body = encode(answer.reply);
+    server_->respond(answer.token, std::move(response));
+  }
+  for (const MemberRequest& request : work.member_requests) {
+    sendMemberRequest(request);
+  }
+}
+
+void ControlProcess::Impl::queueRaft(const RaftMessage& message) {
+  const std::string address = core_->addressOf(message.to);
+  if (address.empty()) {
+    return;
+  }
+  MemberLink& link = links_[address];
+  if (link.waiting.messages.size() < kMaximumQueuedMessages) {
+    link.waiting.messages.push_back(message);
+  }
+  flushLink(address);
+}
+
+void ControlProcess::Impl::flushLink(const std::string& address) {
+  MemberLink& link = links_[address];
+  if (link.busy || link.waiting.messages.empty()) {
+    return;
+  }
+  link.busy = true;
+  link.waiting.sender_address = settings_.address.toString();
+  HttpClientRequest request;
+  request.url = "http://" + address + kRaftPath;
+  request.headers = {{"Content-Type", kCborType}};
+  request.body = encode(link.waiting);
+  request.timeout = kRaftTimeout;
+  link.waiting.messages.clear();
+  client_.send(std::move(request), [this, address](const HttpClientResult&) {
+    post([this, address](TimePoint) {
+      links_[address].busy = false;
+      flushLink(address);
+    });
+  });
+}
+
+void ControlProcess::Impl::sendMemberRequest(const MemberRequest& request) {
+  const std::uint64_t request_id = request.request_id;
+  sendControlRequest(client_, request.address, request.request, kMemberTimeout,
+                     [this, request_id](const std::optional<ControlReply>& reply) {
+                       post([this, request_id, reply](TimePoint now) {
+                         core_->onMemberReply(request_id, reply, now);
+                       });
+                     });
+}
+
+void ControlProcess::Impl::askPlatform(TimePoint /*now*/) {
+  HttpClientRequest request;
+  request.method = "GET";
+  request.url = settings_.platform_url;
+  request.timeout = kPlatformTimeout;
+  client_.send(std::move(request), [this](const HttpClientResult& result) {
+    if (!result.complete || result.status != 200) {
+      return;  // The last list stays in use.
+    }
+    const auto servers = parsePlatformList(result.body);
+    if (servers) {
+      post([this, servers](TimePoint now) { core_->onPlatformList(*servers, now); });
+    }
+  });
+}
+
+void ControlProcess::Impl::onHttp(HttpToken token, const HttpRequest& request) {
+  if (request.path == kRaftPath) {
+    const auto batch = decode<RaftBatch>(request.body);
+    if (batch) {
+      post([this, batch](TimePoint now) {
+        for (const RaftMessage& message : batch->messages) {
+          core_->onRaftMessage(message, batch->sender_address, now);
+        }
+      });
+    }
+    HttpResponse response;
+    response.status = batch ? 204 : 400;
+    server_->respond(token, std::move(response));
+    return;
+  }
+  const auto control =
+      request.path == kControlPath ? decode<ControlRequest>(request.body) : std::nullopt;
+  if (!control) {
+    HttpResponse response;
+    response.status = 400;
+    response.body = "expected a control request as CBOR\n";
+    server_->respond(token, std::move(response));
+    return;
+  }
+  post([this, token, control](TimePoint now) { core_->onRequest(token, *control, now); });
+}
+
+void ControlProcess::Impl::reportChanges() {
+  const RaftNode& raft = core_->raft();
+  const bool leads = raft.role() == RaftRole::kLeader;
+  const std::string state = "term " + std::to_string(raft.term()) +
+                            (leads ? " leader" : " follower") + " of " +
+                            std::to_string(raft.leader()) + " configuration " +
+                            core_->state().configuration().version.toString();
+  if (state != reported_state_) {
+    logChange("state", {{"role", leads ? "leader" : "follower"},
+                        {"term", std::to_string(raft.term())},
+                        {"leader", std::to_string(raft.leader())},
+                        {"configuration", core_->state().configuration().version.toString()}});
+    reported_state_ = state;
+  }
+}
+
+MetricsPage ControlProcess::Impl::metrics() {
+  MetricsPage page;
+  const std::lock_guard<std::mutex> lock(core_mutex_);
+  const TimePoint now = monotonicNow();
+  const ControlStatus status = core_->status(now);
+  const ControlCounters& counters = core_->counters();
+  std::uint64_t silent = 0;
+  constexpr std::uint64_t kSilentMs = 5000;
+  for (const MemberStatus& member : status.members) {
+    const bool self = member.member.id == status.self;
+    const bool leads = core_->raft().role() == RaftRole::kLeader;
+    silent += leads && !self && (!member.heard || member.silent_ms > kSilentMs) ? 1 : 0;
+  }
+  page.gauge("control_leader", "1 on the leader.",
+             core_->raft().role() == RaftRole::kLeader ? 1 : 0);
+  page.gauge("control_authoritative", "0 while no leader is heard.",
+             core_->authoritative(now) ? 1 : 0);
+  page.gauge("control_term", "Raft term.", static_cast<double>(status.term));
+  page.gauge("control_commit_index", "Committed log index.", static_cast<double>(status.commit));
+  page.gauge("control_members", "Members of the group.",
+             static_cast<double>(status.members.size()));
+  page.gauge("control_members_silent", "Members the leader has not heard for 5 s.",
+             static_cast<double>(silent));
+  page.gauge("control_held_polls", "Daemons waiting for news.",
+             static_cast<double>(core_->heldPolls()));
+  page.gauge("control_sessions", "Daemons known.", static_cast<double>(status.sessions));
+  page.gauge("control_claims", "At-most-once claims remembered.",
+             static_cast<double>(status.claims));
+  page.gauge("control_log_bytes", "Size of the log file.",
+             static_cast<double>(storage_.logBytes()));
+  page.gauge("control_snapshot_bytes", "Size of the snapshot file.",
+             static_cast<double>(storage_.snapshotBytes()));
+  page.counter("control_log_syncs_total", "Syncs of the log.", storage_.syncs());
+  page.counter("control_polls_total", "Polls of daemons.", counters.polls);
+  page.counter("control_pushes_total", "Configurations handed out.", counters.configuration_pushes);
+  page.counter("control_commands_total", "Commands proposed.", counters.commands);
+  page.counter("control_claims_total", "Claims, completions and releases.", counters.claims);
+  page.counter("control_snapshots_total", "Snapshots taken.", counters.snapshots);
+  page.counter("control_elections_won_total", "Elections won.", counters.elections_won);
+  page.addProcessMetrics();
+  return page;
+}
+
+ControlProcess::ControlProcess(ControlSettings settings)
+    : impl_(std::make_unique<Impl>(std::move(settings))) {}
+ControlProcess::~ControlProcess() = default;
+std::optional<std::string> ControlProcess::start() {
+  return impl_->start();
+}
+void ControlProcess::stop() {
+  impl_->stop();
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/control_core.cc
@@ -0,0 +1,452 @@
+#include "core/control_core.h"
+
+#include <algorithm>
+
+#include "core/cbor_codec.h"
+
+namespace ramppond {
+namespace {
+
+// A follower that has not heard from a leader for this long says so in every answer.
+constexpr std::int64_t kAuthorityElectionTimeouts = 3;
+constexpr Duration kLongestHold = seconds(10);
+constexpr std::size_t kMaximumHeardAddresses = 64;
+
+}  // namespace
+
+ControlCore::ControlCore(ControlOptions options, RaftRecovery recovery, TimePoint now)
+    : options_(std::move(options)), raft_(options_.raft, recovery, now) {
+  if (recovery.snapshot.index > 0) {
+    installSnapshot(recovery.snapshot);
+  }
+  state_.setGroupId(raft_.groupId());
+  last_contact_ = now - options_.raft.election_timeout * kAuthorityElectionTimeouts;
+}
+
+std::string ControlCore::addressOf(NodeId id) const {
+  const Member* member = raft_.membership().find(id);
+  if (member != nullptr) {
+    return member->address;
+  }
+  const auto heard = heard_addresses_.find(id);
+  return heard == heard_addresses_.end() ? std::string() : heard->second;
+}
+
+std::string ControlCore::leaderAddress() const {
+  return addressOf(raft_.leader());
+}
+
+bool ControlCore::authoritative(TimePoint now) const {
+  if (raft_.role() == RaftRole::kLeader) {
+    return true;
+  }
+  return raft_.leader() != 0 &&
+         now - last_contact_ < options_.raft.election_timeout * kAuthorityElectionTimeouts;
+}
+
+void ControlCore::answer(ControlToken token, ControlReply reply) {
+  reply.leader_address = leaderAddress();
+  answers_.push_back({token, std::move(reply)});
+}
+
+void ControlCore::answerError(ControlToken token, ErrorKind kind, const std::string& reason) {
+  ControlReply reply;
+  reply.error = kind;
+  reply.reason = reason;
+  answer(token, std::move(reply));
+}
+
+void ControlCore::onRequest(ControlToken token, const ControlRequest& request, TimePoint now) {
+  switch (request.type) {
+    case ControlRequestType::kPoll:
+      onPoll(token, request.poll, now);
+      return;
+    case ControlRequestType::kCommand:
+      onCommand(token, request);
+      return;
+    case ControlRequestType::kReadConfiguration:
+    case ControlRequestType::kListPlans:
+      requestRead(token, request);
+      return;
+    case ControlRequestType::kStatus:
+    case ControlRequestType::kIdentity: {
+      ControlReply reply;
+      reply.status = status(now);
+      reply.authoritative = authoritative(now);
+      answer(token, std::move(reply));
+      return;
+    }
+    case ControlRequestType::kBootstrap:
+      onBootstrap(token, now);
+      return;
+    case ControlRequestType::kAddMember:
+    case ControlRequestType::kRemoveMember:
+      onMemberChange(token, request);
+      return;
+    case ControlRequestType::kSessions:
+      onSessions(token, request);
+      return;
+  }
+  answerError(token, ErrorKind::kMalformedRequest, "unknown type of request");
+}
+
+void ControlCore::onBootstrap(ControlToken token, TimePoint now) {
+  Member self;
+  self.id = raft_.id();
+  self.name = options_.name;
+  self.address = options_.address;
+  self.voter = true;
+  // The first member's own number names the group: it was drawn at random for an empty folder.
+  if (!raft_.bootstrap(raft_.id(), self, now)) {
+    answerError(token, ErrorKind::kVersionConflict,
+                "this member already belongs to a group or has a log; nothing was changed");
+    return;
+  }
+  state_.setGroupId(raft_.groupId());
+  answer(token, {});
+}
+
+void ControlCore::onCommand(ControlToken token, const ControlRequest& request) {
+  Command command = request.command;
+  command.leader_clock_ms = wall_clock_ms_;
+  counters_.commands += 1;
+  counters_.claims += command.claims.size();
+  addProposal(token, raft_.propose(encode(command)));
+}
+
+void ControlCore::addProposal(ControlToken token, const std::optional<LogIndex>& index) {
+  if (!index) {
+    answerError(token, ErrorKind::kNotLeader,
+                raft_.role() == RaftRole::kLeader ? "another member change is under way"
+                                                  : "this member does not lead");
+    return;
+  }
+  proposals_[*index] = {token, raft_.term()};
+}
+
+void ControlCore::onMemberChange(ControlToken token, const ControlRequest& request) {
+  Membership membership = raft_.membership();
+  const Member* present = membership.findByName(request.member.name);
+  if (request.type == ControlRequestType::kAddMember) {
+    if (present != nullptr) {
+      const bool same = present->id == request.member.id;
+      answerError(token, same ? ErrorKind::kNone : ErrorKind::kVersionConflict,
+                  same ? "already a member"
+                       : "'" + present->name +
+                             "' is a member under another identity; remove that one first");
+      return;
+    }
+    Member learner = request.member;
+    learner.voter = false;
+    membership.members.push_back(std::move(learner));
+  } else {
+    if (present == nullptr) {
+      answerError(token, ErrorKind::kNotFound, "no member '" + request.member.name + "'");
+      return;
+    }
+    auto& members = membership.members;
+    members.erase(
+        std::remove_if(members.begin(), members.end(),
+                       [&](const Member& member) { return member.name == request.member.name; }),
+        members.end());
+  }
+  addProposal(token, raft_.proposeMembership(membership));
+}
+
+void ControlCore::onSessions(ControlToken token, const ControlRequest& request) {
+  ControlReply reply;
+  reply.sessions = registry_.sessionsSince(request.sessions_since);
+  reply.sessions_counter = registry_.sessionsCounter();
+  answer(token, std::move(reply));
+}
+
+void ControlCore::requestRead(ControlToken token, const ControlRequest& request) {
+  const std::uint64_t read_id = next_read_id_++;
+  reads_.emplace(read_id, std::make_pair(token, request));
+  raft_.requestRead(read_id);
+}
+
+void ControlCore::answerRead(std::uint64_t read_id, bool ready) {
+  const auto found = reads_.find(read_id);
+  if (found == reads_.end()) {
+    return;
+  }
+  const auto [token, request] = std::move(found->second);
+  reads_.erase(found);
+  ControlReply reply;
+  if (!ready && request.type != ControlRequestType::kPoll) {
+    answerError(token, ErrorKind::kNotLeader, "this member does not lead");
+    return;
+  }
+  reply.authoritative = ready;
+  reply.quorum_confirmed = ready;
+  reply.has_configuration = true;
+  reply.configuration = state_.configuration();
+  if (request.type == ControlRequestType::kListPlans) {
+    reply.plans.assign(state_.plans().begin(), state_.plans().end());
+  }
+  if (request.type == ControlRequestType::kPoll) {
+    HeldPoll poll;
+    poll.request = request.poll;
+    hasNews(poll, reply);
+  }
+  answer(token, std::move(reply));
+}
+
+void ControlCore::onPoll(ControlToken token, const PollRequest& request, TimePoint now) {
+  counters_.polls += 1;
+  registry_.onSession(request.session, now);
+  if (request.quorum_read && raft_.role() == RaftRole::kLeader) {
+    ControlRequest read;
+    read.type = ControlRequestType::kPoll;
+    read.poll = request;
+    requestRead(token, read);
+    return;
+  }
+  HeldPoll poll;
+  poll.request = request;
+  poll.due = now + std::min(request.hold, kLongestHold);
+  ControlReply reply;
+  const bool news = hasNews(poll, reply);
+  if (news || request.hold <= Duration(0) || !authoritative(now)) {
+    answerPoll(token, std::move(reply), now);
+    return;
+  }
+  poll.seen_registry_version = registry_.version();
+  polls_.emplace(token, std::move(poll));
+}
+
+// Fills `reply` with what the daemon does not have yet.
+bool ControlCore::hasNews(const HeldPoll& poll, ControlReply& reply) {
+  const PollRequest& request = poll.request;
+  bool news = false;
+  const bool newer = request.have < state_.configuration().version;
+  if (newer || (request.quorum_read && state_.configuration().group_id != 0)) {
+    reply.has_configuration = true;
+    reply.configuration = state_.configuration();
+    news = newer;
+  }
+  if (poll.seen_registry_version == registry_.version()) {
+    return news;
+  }
+  for (const ServiceInterest& interest : request.interests) {
+    ServiceServers servers =
+        registry_.serversFor(interest.service, request.zone, request.session.server);
+    if (servers.digest != interest.digest) {
+      reply.services.push_back(std::move(servers));
+      news = true;
+    }
+  }
+  return news;
+}
+
+void ControlCore::answerPoll(ControlToken token, ControlReply reply, TimePoint now) {
+  reply.authoritative = authoritative(now);
+  counters_.configuration_pushes += reply.has_configuration ? 1 : 0;
+  answer(token, std::move(reply));
+}
+
+void ControlCore::answerHeldPolls(TimePoint now) {
+  for (auto held = polls_.begin(); held != polls_.end();) {
+    HeldPoll& poll = held->second;
+    ControlReply reply;
+    const bool look = configuration_changed_ || poll.seen_registry_version != registry_.version();
+    const bool news = look && hasNews(poll, reply);
+    poll.seen_registry_version = registry_.version();
+    if (!news && now < poll.due && authoritative(now)) {
+      ++held;
+      continue;
+    }
+    answerPoll(held->first, std::move(reply), now);
+    held = polls_.erase(held);
+  }
+  configuration_changed_ = false;
+}
+
+void ControlCore::onRequesterGone(ControlToken token) {
+  polls_.erase(token);
+}
+
+void ControlCore::onRaftMessage(const RaftMessage& message, const std::string& sender_address,
+                                TimePoint now) {
+  if (raft_.membership().find(message.from) == nullptr && message.to == raft_.id()) {
+    if (heard_addresses_.size() >= kMaximumHeardAddresses) {
+      heard_addresses_.clear();
+    }
+    heard_addresses_[message.from] = sender_address;
+  }
+  raft_.step(message, now);
+  const bool from_leader = message.type == RaftMessageType::kAppendRequest ||
+                           message.type == RaftMessageType::kSnapshotRequest;
+  if (from_leader && raft_.leader() == message.from) {
+    last_contact_ = now;
+  }
+}
+
+void ControlCore::onPlatformList(const std::vector<ServerInfo>& servers, TimePoint /*now*/) {
+  registry_.setPlatformList(servers);
+}
+
+void ControlCore::tick(TimePoint now, std::int64_t wall_clock_ms) {
+  wall_clock_ms_ = wall_clock_ms;
+  raft_.tick(now);
+  const bool leads = raft_.role() == RaftRole::kLeader;
+  counters_.elections_won += leads && !was_leader_ ? 1 : 0;
+  was_leader_ = leads;
+  failPendingIfNotLeader();
+  answerHeldPolls(now);
+  if (now >= next_pull_) {
+    next_pull_ = now + options_.session_pull_interval;
+    pullSessions(now);
+  }
+}
+
+void ControlCore::failPendingIfNotLeader() {
+  if (raft_.role() == RaftRole::kLeader || proposals_.empty()) {
+    return;
+  }
+  for (const auto& [index, proposal] : proposals_) {
+    answerError(proposal.token, ErrorKind::kNotLeader, "leadership was lost; ask again");
+  }
+  proposals_.clear();
+}
+
+// Learns the sessions that other members hold: each is asked what changed since the last time.
+void ControlCore::pullSessions(TimePoint /*now*/) {
+  session_pulls_.clear();
+  for (const Member& member : raft_.membership().members) {
+    if (member.id == raft_.id()) {
+      continue;
+    }
+    MemberRequest pull;
+    pull.address = member.address;
+    pull.request_id = next_member_request_id_++;
+    pull.request.type = ControlRequestType::kSessions;
+    pull.request.sender = raft_.id();
+    pull.request.sessions_since = pulled_counters_[member.address];
+    session_pulls_.emplace(pull.request_id, member.address);
+    member_requests_.push_back(std::move(pull));
+  }
+}
+
+void ControlCore::onMemberReply(std::uint64_t request_id, const std::optional<ControlReply>& reply,
+                                TimePoint now) {
+  const auto pull = session_pulls_.find(request_id);
+  if (pull == session_pulls_.end()) {
+    return;
+  }
+  std::uint64_t& counter = pulled_counters_[pull->second];
+  session_pulls_.erase(pull);
+  if (!reply) {
+    return;
+  }
+  // A counter that ran backwards means that the member restarted: start over with it.
+  counter = reply->sessions_counter < counter ? 0 : reply->sessions_counter;
+  for (const DaemonSession& session : reply->sessions) {
+    registry_.onSession(session, now);
+  }
+}
+
+ControlWork ControlCore::take(TimePoint now) {
+  ControlWork work;
+  static_cast<void>(now);
+  work.snapshot = snapshotIfDue();
+  work.raft = raft_.ready();
+  work.answers = std::exchange(answers_, {});
+  work.member_requests = std::exchange(member_requests_, {});
+  return work;
+}
+
+std::optional<Snapshot> ControlCore::snapshotIfDue() {
+  if (applied_ < raft_.snapshotIndex() + options_.entries_per_snapshot) {
+    return std::nullopt;
+  }
+  counters_.snapshots += 1;
+  return raft_.compact(applied_, encode(state_.snapshot()));
+}
+
+void ControlCore::done(const ControlWork& work, TimePoint now) {
+  raft_.advance();
+  if (work.raft.install_snapshot) {
+    installSnapshot(*work.raft.install_snapshot);
+  }
+  for (const LogEntry& entry : work.raft.committed) {
+    applyEntry(entry);
+  }
+  for (const std::uint64_t read_id : work.raft.reads_ready) {
+    answerRead(read_id, true);
+  }
+  for (const std::uint64_t read_id : work.raft.reads_failed) {
+    answerRead(read_id, false);
+  }
+  if (configuration_changed_) {
+    answerHeldPolls(now);
+  }
+}
+
+void ControlCore::applyEntry(const LogEntry& entry) {
+  applied_ = entry.index;
+  CommandResult result;
+  if (entry.type == EntryType::kCommand) {
+    const auto command = decode<Command>(entry.payload);
+    const ConfigurationVersion before = state_.configuration().version;
+    if (command) {
+      result = state_.apply(*command, {entry.term, entry.index});
+    } else {
+      result.error = ErrorKind::kMalformedRequest;
+    }
+    configuration_changed_ = configuration_changed_ || before != state_.configuration().version;
+  }
+  state_.setGroupId(raft_.groupId());
+  const auto proposal = proposals_.find(entry.index);
+  if (proposal == proposals_.end()) {
+    return;
+  }
+  const PendingProposal pending = proposal->second;
+  proposals_.erase(proposal);
+  if (pending.term != entry.term) {
+    answerError(pending.token, ErrorKind::kNotLeader, "another leader took over; ask again");
+    return;
+  }
+  ControlReply reply;
+  reply.authoritative = true;
+  reply.result = std::move(result);
+  answer(pending.token, std::move(reply));
+}
+
+void ControlCore::installSnapshot(const Snapshot& snapshot) {
+  const auto decoded = decode<ControlSnapshot>(snapshot.state);
+  if (decoded) {
+    state_.restore(*decoded);
+  }
+  state_.setGroupId(raft_.groupId());
+  applied_ = snapshot.index;
+  configuration_changed_ = true;
+}
+
+ControlStatus ControlCore::status(TimePoint now) const {
+  ControlStatus status;
+  status.group_id = raft_.groupId();
+  status.self = raft_.id();
+  status.name = options_.name;
+  status.term = raft_.term();
+  status.commit = raft_.commitIndex();
+  status.last = raft_.lastIndex();
+  status.snapshot = raft_.snapshotIndex();
+  status.sessions = registry_.sessionCount();
+  status.claims = state_.claimCount();
+  for (const Member& member : raft_.membership().members) {
+    MemberStatus row;
+    row.member = member;
+    row.leader = member.id == raft_.leader();
+    const auto heard = raft_.lastHeardFrom(member.id);
+    row.heard = heard.has_value() || member.id == raft_.id();
+    if (heard) {
+      row.silent_ms = static_cast<std::uint64_t>((now - *heard).count() / 1000);
+    }
+    status.members.push_back(std::move(row));
+  }
+  return status;
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/control_core.h
@@ -0,0 +1,147 @@
+// All decisions of one control member: Raft, the replicated state, sessions and held polls.
+//
+// A pure state machine like DaemonCore. The driver feeds events, then runs the durability loop:
+// take(), write and sync what it holds, send what it holds, done().
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/control_messages.h"
+#include "core/control_state.h"
+#include "core/raft.h"
+#include "core/server_registry.h"
+
+namespace ramppond {
+
+struct ControlOptions {
+  std::string name;
+  std::string address;  ///< HOST:PORT of the own control port.
+  RaftOptions raft;
+  LogIndex entries_per_snapshot = 20000;
+  Duration session_pull_interval = milliseconds(500);
+  Duration session_lifetime = seconds(30);
+};
+
+/// Names one request that the driver waits to answer.
+using ControlToken = std::uint64_t;
+
+struct ControlAnswer {
+  ControlToken token = 0;
+  ControlReply reply;
+};
+
+/// A request to another control member.
+struct MemberRequest {
+  std::string address;
+  std::uint64_t request_id = 0;
+  ControlRequest request;
+};
+
+/// What the driver must do, in this order: persist `raft`'s and `snapshot`, send, answer.
+struct ControlWork {
+  RaftReady raft;
+  std::optional<Snapshot> snapshot;  ///< Replace the snapshot file, then drop old log.
+  std::vector<ControlAnswer> answers;
+  std::vector<MemberRequest> member_requests;
+  [[nodiscard]] bool empty() const {
+    return raft.empty() && !snapshot && answers.empty() && member_requests.empty();
+  }
+};
+
+struct ControlCounters {
+  std::uint64_t polls = 0;
+  std::uint64_t configuration_pushes = 0;
+  std::uint64_t commands = 0;
+  std::uint64_t claims = 0;
+  std::uint64_t snapshots = 0;
+  std::uint64_t elections_won = 0;
+};
+
+class ControlCore {
+ public:
+  ControlCore(ControlOptions options, RaftRecovery recovery, TimePoint now);
+
+  void onRequest(ControlToken token, const ControlRequest& request, TimePoint now);
+  /// The requester of a held poll closed its connection.
+  void onRequesterGone(ControlToken token);
+  /// `sender_address` is where the sender takes answers: a new member's log does not say yet.
+  void onRaftMessage(const RaftMessage& message, const std::string& sender_address, TimePoint now);
+  void onMemberReply(std::uint64_t request_id, const std::optional<ControlReply>& reply,
+                     TimePoint now);
+  /// The platform's list of servers, which lags.
+  void onPlatformList(const std::vector<ServerInfo>& servers, TimePoint now);
+  void tick(TimePoint now, std::int64_t wall_clock_ms);
+
+  ControlWork take(TimePoint now);
+  /// The last take() is on disk and sent; applies what it committed.
+  void done(const ControlWork& work, TimePoint now);
+
+  [[nodiscard]] const RaftNode& raft() const { return raft_; }
+  [[nodiscard]] const ControlState& state() const { return state_; }
+  [[nodiscard]] const ControlCounters& counters() const { return counters_; }
+  [[nodiscard]] ControlStatus status(TimePoint now) const;
+  [[nodiscard]] std::size_t heldPolls() const { return polls_.size(); }
+  /// Address of a member, for the driver to send Raft messages to.
+  [[nodiscard]] std::string addressOf(NodeId id) const;
+  /// Hears from a leader, or is one with a quorum.
+  [[nodiscard]] bool authoritative(TimePoint now) const;
+
+ private:
+  struct HeldPoll {
+    PollRequest request;
+    TimePoint due{0};
+    std::uint64_t seen_registry_version = 0;
+  };
+  struct PendingProposal {
+    ControlToken token = 0;
+    Term term = 0;
+  };
+
+  void onPoll(ControlToken token, const PollRequest& request, TimePoint now);
+  void onCommand(ControlToken token, const ControlRequest& request);
+  void onMemberChange(ControlToken token, const ControlRequest& request);
+  void onBootstrap(ControlToken token, TimePoint now);
+  void onSessions(ControlToken token, const ControlRequest& request);
+  void requestRead(ControlToken token, const ControlRequest& request);
+  void answerRead(std::uint64_t read_id, bool ready);
+  std::optional<Snapshot> snapshotIfDue();
+  bool hasNews(const HeldPoll& poll, ControlReply& reply);
+  void answerHeldPolls(TimePoint now);
+  void answerPoll(ControlToken token, ControlReply reply, TimePoint now);
+  void addProposal(ControlToken token, const std::optional<LogIndex>& index);
+  void applyEntry(const LogEntry& entry);
+  void installSnapshot(const Snapshot& snapshot);
+  void failPendingIfNotLeader();
+  void pullSessions(TimePoint now);
+  void answer(ControlToken token, ControlReply reply);
+  void answerError(ControlToken token, ErrorKind kind, const std::string& reason);
+  [[nodiscard]] std::string leaderAddress() const;
+
+  ControlOptions options_;
+  RaftNode raft_;
+  ControlState state_;
+  ServerRegistry registry_;
+  std::int64_t wall_clock_ms_ = 0;
+  std::map<ControlToken, HeldPoll> polls_;
+  std::map<LogIndex, PendingProposal> proposals_;
+  std::map<std::uint64_t, std::pair<ControlToken, ControlRequest>> reads_;
+  std::uint64_t next_read_id_ = 1;
+  std::uint64_t next_member_request_id_ = 1;
+  std::map<std::uint64_t, std::string> session_pulls_;    ///< Request id to address.
+  std::map<std::string, std::uint64_t> pulled_counters_;  ///< Address to sessions counter.
+  std::map<NodeId, std::string> heard_addresses_;
+  TimePoint next_pull_{0};
+  LogIndex applied_ = 0;
+  std::vector<ControlAnswer> answers_;
+  std::vector<MemberRequest> member_requests_;
+  bool configuration_changed_ = false;
+  bool was_leader_ = false;
+  TimePoint last_contact_{0};
+  ControlCounters counters_;
+};
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/control_state.h
@@ -0,0 +1,236 @@
+// The replicated state machine of the control group: configuration, plans and claims.
+//
+// Deterministic: a command carries the proposing leader's clock, and nothing else tells the time.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/call.h"
+#include "core/configuration.h"
+#include "core/errors.h"
+#include "core/planning.h"
+
+namespace ramppond {
+
+enum class CommandType : std::uint8_t {
+  kPlan = 0,
+  kConfirm = 1,
+  kReject = 2,
+  kClaim = 3,
+  kCompleteClaim = 4,
+  kReleaseClaim = 5,
+};
+
+/// The claim part of a command: who wants to run what, or how it went.
+struct ClaimCommand {
+  std::string key;                      ///< Caller, service and Idempotency-Key; see claimKey().
+  std::uint64_t fingerprint = 0;        ///< Checksum of the request; one key, one request.
+  CallId holder;                        ///< The attempt that is to run it.
+  Outcome outcome = Outcome::kUnknown;  ///< kCompleteClaim: kRan or kUnknown.
+  std::uint32_t status = 0;
+  std::string body;  ///< The kept answer, at most kMaximumKeptAnswerBytes.
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, key);
+    visitor(2, fingerprint);
+    visitor(3, holder);
+    visitor(4, outcome);
+    visitor(5, status);
+    visitor(6, body);
+  }
+};
+
+struct Command {
+  CommandType type = CommandType::kPlan;
+  std::int64_t leader_clock_ms = 0;   ///< Wall clock of the proposing leader.
+  std::string operator_request_id;    ///< A resent command with one id gets the first result.
+  ConfigurationVersion base_version;  ///< kPlan: the version the operator saw.
+  std::vector<ConfigurationChange> changes;
+  std::uint64_t plan_id = 0;
+  std::vector<ClaimCommand> claims;  ///< Claim commands are batched.
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, type);
+    visitor(2, leader_clock_ms);
+    visitor(3, operator_request_id);
+    visitor(4, base_version);
+    visitor(5, changes);
+    visitor(6, plan_id);
+    visitor(7, claims);
+  }
+};
+
+/// Answer to one claim of a batch.
+struct ClaimReply {
+  bool granted = false;
+  /// kNone without a grant means the kept answer below stands; otherwise why it was denied.
+  ErrorKind error = ErrorKind::kNone;
+  std::uint32_t status = 0;
+  std::string body;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, granted);
+    visitor(2, error);
+    visitor(3, status);
+    visitor(4, body);
+  }
+};
+
+struct CommandResult {
+  ErrorKind error = ErrorKind::kNone;
+  std::string reason;
+  std::uint64_t plan_id = 0;
+  ConfigurationVersion version;    ///< kConfirm: the version now in force.
+  std::vector<std::string> lines;  ///< kPlan: what would change.
+  std::vector<ClaimReply> claims;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, error);
+    visitor(2, reason);
+    visitor(3, plan_id);
+    visitor(4, version);
+    visitor(5, lines);
+    visitor(6, claims);
+  }
+};
+
+enum class PlanState : std::uint8_t { kOpen = 0, kConfirmed = 1, kRejected = 2 };
+
+struct Plan {
+  std::uint64_t id = 0;
+  PlanState state = PlanState::kOpen;
+  ConfigurationVersion base_version;
+  std::vector<ConfigurationChange> changes;
+  std::vector<std::string> lines;
+  std::int64_t created_ms = 0;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, id);
+    visitor(2, state);
+    visitor(3, base_version);
+    visitor(4, changes);
+    visitor(5, lines);
+    visitor(6, created_ms);
+  }
+};
+
+enum class ClaimState : std::uint8_t { kHeld = 0, kRan = 1, kUnknown = 2 };
+
+struct Claim {
+  std::string key;
+  std::uint64_t fingerprint = 0;
+  CallId holder;
+  ClaimState state = ClaimState::kHeld;
+  std::uint32_t status = 0;
+  std::string body;
+  std::int64_t claimed_ms = 0;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, key);
+    visitor(2, fingerprint);
+    visitor(3, holder);
+    visitor(4, state);
+    visitor(5, status);
+    visitor(6, body);
+    visitor(7, claimed_ms);
+  }
+};
+
+struct RememberedResult {
+  std::string operator_request_id;
+  CommandResult result;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, operator_request_id);
+    visitor(2, result);
+  }
+};
+
+/// All of the state machine, as a snapshot holds it.
+struct ControlSnapshot {
+  Configuration configuration;
+  std::uint64_t next_plan_id = 1;
+  std::vector<Plan> plans;
+  std::vector<Claim> claims;
+  std::vector<RememberedResult> results;
+  std::vector<CallId> abandoned;  ///< Attempts that may not claim any more.
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(6, abandoned);
+    visitor(1, configuration);
+    visitor(2, next_plan_id);
+    visitor(3, plans);
+    visitor(4, claims);
+    visitor(5, results);
+  }
+};
+
+/// A key is remembered this long after its claim; a repeat later than this runs again.
+constexpr std::int64_t kClaimWindowMs = 24LL * 3600 * 1000;
+/// A claim still held after this (the longest deadline and a margin) has an unknown outcome.
+constexpr std::int64_t kClaimHeldMs = 90LL * 1000;
+constexpr std::size_t kMaximumKeptAnswerBytes = 16 * 1024;
+constexpr std::size_t kRememberedResults = 2048;
+constexpr std::size_t kRememberedPlans = 512;
+constexpr std::size_t kRememberedAbandoned = 8192;
+
+/// The key under which a commit-once call is claimed. It holds the caller, so that no caller is
+/// ever given another's kept answer.
+std::string claimKey(const std::string& caller_key, const std::string& service,
+                     const std::string& idempotency_key);
+
+class ControlState {
+ public:
+  explicit ControlState(std::uint64_t group_id = 0);
+
+  /// Applies one committed command. `version` is the entry's place in the log.
+  CommandResult apply(const Command& command, ConfigurationVersion version);
+
+  [[nodiscard]] const Configuration& configuration() const { return configuration_; }
+  [[nodiscard]] const Plan* findPlan(std::uint64_t id) const;
+  [[nodiscard]] const std::deque<Plan>& plans() const { return plans_; }
+  [[nodiscard]] std::size_t claimCount() const { return claims_.size(); }
+  void setGroupId(std::uint64_t group_id) { configuration_.group_id = group_id; }
+
+  [[nodiscard]] ControlSnapshot snapshot() const;
+  void restore(const ControlSnapshot& snapshot);
+
+ private:
+  CommandResult applyOnce(const Command& command, ConfigurationVersion version);
+  CommandResult plan(const Command& command);
+  CommandResult confirm(const Command& command, ConfigurationVersion version);
+  CommandResult reject(const Command& command);
+  ClaimReply claim(const ClaimCommand& command, std::int64_t now_ms);
+  void completeClaim(const ClaimCommand& command);
+  void releaseClaim(const ClaimCommand& command);
+  void expireClaims(std::int64_t now_ms);
+  void remember(const std::string& operator_request_id, const CommandResult& result);
+  void abandon(const CallId& holder);
+  Plan* openPlan(std::uint64_t id, CommandResult& result);
+
+  Configuration configuration_;
+  std::uint64_t next_plan_id_ = 1;
+  std::deque<Plan> plans_;
+  std::map<std::string, Claim> claims_;
+  std::deque<std::pair<std::int64_t, std::string>> claim_order_;  ///< By time, for expiry.
+  std::map<std::string, CommandResult> results_;
+  std::deque<std::string> result_order_;
+  /// Attempts whose release arrived before their claim; the late claim must not be granted.
+  std::set<CallId> abandoned_;
+  std::deque<CallId> abandoned_order_;
+};
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/priority.h
@@ -0,0 +1,33 @@
+// One number that orders all work: the admission level.
+//
+// DAGOR (Zhou et al., SoCC 2018, section 4.2) compares (business priority, user priority). Here
+// the pair is (kind of work and its rank, position within it), and the position is the request's
+// uniform hash divided by the weight of the caller's class. Admitting all positions below t
+// admits a share min(1, t * weight) of each class: shares follow the paid weights, and no class
+// is starved. All calls of one front request carry one level, so every hop judges it alike.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/configuration.h"
+
+namespace ramppond {
+
+/// An admission level; the lower, the later it is shed.
+using Level = std::uint32_t;
+
+constexpr Level kPositionsPerBand = 1024;
+constexpr Level kBandCount = 3 * (kMaximumWorkRank + 1);
+constexpr Level kLevelCount = kBandCount * kPositionsPerBand;
+/// A call that nobody vouches for: the lowest level there is.
+constexpr Level kLowestLevel = kLevelCount - 1;
+
+/// The level of a front request; `request_id` is hashed for the position.
+Level admissionLevel(const WorkType& work_type, std::uint32_t class_weight,
+                     const std::string& request_id);
+
+/// The kind of work that a level belongs to.
+WorkKind kindOfLevel(Level level);
+
+}  // namespace ramppond
--- /dev/null
+++ b/daemon/daemon_process.cc
@@ -0,0 +1,497 @@
+#include "daemon/daemon_process.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+#include "common/logging.h"
+#include "common/metrics.h"
+#include "common/process.h"
+#include "core/cbor_codec.h"
+#include "core/daemon_core.h"
+#include "net/admin_pages.h"
+#include "net/call_protocol.h"
+#include "net/control_protocol.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "storage/file_system.h"
+
+namespace ramppond {
+namespace {
+
+constexpr auto kTickInterval = std::chrono::milliseconds(5);
+constexpr char kConfigurationFile[] = "configuration";
+// A peer adds its envelope to a body of the largest size.
+constexpr std::size_t kEnvelopeBytes = 64 * 1024;
+// After a planned stop's last answer the kernel still has to send it.
+constexpr auto kFlushPause = std::chrono::milliseconds(100);
+constexpr int kBackendShedStatus = 503;
+
+DaemonOptions coreOptions(const DaemonSettings& settings) {
+  DaemonOptions options;
+  options.server = settings.server;
+  options.service = settings.service;
+  options.zone = settings.zone;
+  options.incarnation = randomNumber();
+  options.started_ms = wallClockMs();
+  options.slots = settings.slots;
+  options.control_addresses = settings.control;
+  options.subscriptions = settings.subscriptions;
+  options.policy = findOverloadPolicy(settings.policy).value_or(OverloadPolicy{});
+  options.random_seed = options.incarnation;
+  return options;
+}
+
+HttpServerOptions serverOptions(const Endpoint& listen, std::size_t body_bytes) {
+  HttpServerOptions options;
+  options.listen = listen;
+  options.maximum_request_bytes = body_bytes + kEnvelopeBytes;
+  return options;
+}
+
+}  // namespace
+
+// `mutex_` guards the core and the maps between its ids and those of servers and clients. Actions
+// are carried out under it: each only hands work to a queue. The servers' disconnection events
+// come on threads that may hold a server's lock, so they pass through `gone_mutex_` and the ticker.
+class DaemonProcess::Impl {
+ public:
+  explicit Impl(DaemonSettings settings)
+      : settings_(std::move(settings)),
+        core_(coreOptions(settings_)),
+        peers_(HttpClientOptions{}),
+        backend_(HttpClientOptions{settings_.backend_connections, milliseconds(500)}),
+        control_(HttpClientOptions{}) {
+    makeServers();
+  }
+
+  ~Impl() { stop(); }
+
+  std::optional<std::string> start();
+  void drainAndStop();
+  void stop();
+
+ private:
+  enum class GoneKind { kFront, kEgress, kPeer };
+  struct Gone {
+    GoneKind kind;
+    HttpToken token;
+  };
+
+  void makeServers();
+  void onFront(HttpToken token, const HttpRequest& request);
+  void onEgress(HttpToken token, const HttpRequest& request);
+  void onPeer(HttpToken token, const HttpRequest& request);
+  void onGone(GoneKind kind, HttpToken token);
+  void handleGone(DaemonActions& actions, TimePoint now);
+  void tickLoop();
+  MetricsPage metrics();
+
+  // Runs `event` on the core and carries out the actions.
+  template <class Event>
+  void withCore(Event event) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    DaemonActions actions;
+    event(actions, monotonicNow());
+    for (DaemonAction& action : actions) {
+      std::visit([this](auto& typed) { perform(typed); }, action);
+    }
+  }
+  void perform(DispatchToBackend& action);
+  void perform(CancelBackend& action);
+  void perform(AnswerPeer& action);
+  void perform(SendToPeer& action);
+  void perform(CancelPeer& action);
+  void perform(AnswerRequest& action);
+  void perform(SendToControl& action);
+  void perform(SaveConfiguration& action);
+  void onBackendResult(const CallId& id, const HttpClientResult& result);
+  void onPeerResult(const CallId& id, const HttpClientResult& result);
+  void loadSavedConfiguration();
+
+  // Tokens of the core: the low bit tells the two requesters apart.
+  static RequestToken frontToken(HttpToken token) { return token * 2; }
+  static RequestToken egressToken(HttpToken token) { return token * 2 + 1; }
+
+  DaemonSettings settings_;
+  std::mutex mutex_;
+  DaemonCore core_;
+  std::unordered_map<CallId, HttpToken, CallIdHash> peer_tokens_;
+  std::unordered_map<HttpToken, CallId> peer_calls_;
+  std::unordered_map<CallId, std::uint64_t, CallIdHash> backend_requests_;
+  std::unordered_map<CallId, std::uint64_t, CallIdHash> peer_requests_;
+  std::mutex gone_mutex_;
+  std::vector<Gone> gone_;
+  std::unique_ptr<PosixFileSystem> files_;
+  std::unique_ptr<HttpServer> front_server_;
+  std::unique_ptr<HttpServer> egress_server_;
+  std::unique_ptr<HttpServer> peer_server_;
+  std::unique_ptr<AdminPages> admin_;
+  std::atomic<bool> stopping_{false};
+  std::thread ticker_;
+  HttpClient peers_;
+  HttpClient backend_;
+  HttpClient control_;
+};
+
+void DaemonProcess::Impl::makeServers() {
+  const std::size_t body = settings_.maximum_body_bytes;
+  front_server_ = std::make_unique<HttpServer>(
+      serverOptions(settings_.front, body),
+      [this](HttpToken token, const HttpRequest& request) { onFront(token, request); },
+      [this](HttpToken token) { onGone(GoneKind::kFront, token); });
+  egress_server_ = std::make_unique<HttpServer>(
+      serverOptions(settings_.egress, body),
+      [this](HttpToken token, const HttpRequest& request) { onEgress(token, request); },
+      [this](HttpToken token) { onGone(GoneKind::kEgress, token); });
+  peer_server_ = std::make_unique<HttpServer>(
+      serverOptions(settings_.peer, body + kEnvelopeBytes),
+      [this](HttpToken token, const HttpRequest& request) { onPeer(token, request); },
+      [this](HttpToken token) { onGone(GoneKind::kPeer, token); });
+  admin_ = std::make_unique<AdminPages>(settings_.admin, "ramppond-daemon " + settings_.server,
+                                        [this] { return metrics(); });
+  admin_->onPost("/drain", [this](const std::string&) {
+    withCore([this](DaemonActions&, TimePoint) { core_.startDrain(); });
+    logChange("draining", {{"cause", "admin port"}});
+    return std::string("draining\n");
+  });
+}
+
+std::optional<std::string> DaemonProcess::Impl::start() {
+  if (!settings_.data_folder.empty()) {
+    files_ = std::make_unique<PosixFileSystem>(settings_.data_folder);
+    if (auto error = files_->prepare()) {
+      return error;
+    }
+    loadSavedConfiguration();
+  }
+  for (HttpServer* server : {front_server_.get(), egress_server_.get(), peer_server_.get()}) {
+    if (auto error = server->start()) {
+      return error;
+    }
+  }
+  if (auto error = admin_->start()) {
+    return error;
+  }
+  ticker_ = std::thread([this] { tickLoop(); });
+  logChange("started", {{"server", settings_.server},
+                        {"service", settings_.service},
+                        {"front", settings_.front.toString()},
+                        {"incarnation", std::to_string(core_.options().incarnation)}});
+  return std::nullopt;
+}
+
+void DaemonProcess::Impl::loadSavedConfiguration() {
+  const auto bytes = files_->read(kConfigurationFile);
+  const auto saved = bytes ? decode<Configuration>(*bytes) : std::nullopt;
+  if (saved) {
+    core_.offerSavedConfiguration(*saved);
+  }
+}
+
+void DaemonProcess::Impl::drainAndStop() {
+  withCore([this](DaemonActions&, TimePoint) { core_.startDrain(); });
+  logChange("draining", {{"cause", "signal"}});
+  for (;;) {
+    std::this_thread::sleep_for(kTickInterval);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (core_.drained()) {
+      break;
+    }
+  }
+  std::this_thread::sleep_for(kFlushPause);
+  stop();
+  logChange("stopped", {});
+}
+
+void DaemonProcess::Impl::stop() {
+  if (stopping_.exchange(true)) {
+    return;
+  }
+  if (ticker_.joinable()) {
+    ticker_.join();
+  }
+  front_server_->stop();
+  egress_server_->stop();
+  peer_server_->stop();
+}
+
+void DaemonProcess::Impl::tickLoop() {
+  bool was_ready = false;
+  std::string version;
+  while (!stopping_) {
+    std::this_thread::sleep_for(kTickInterval);
+    withCore([&](DaemonActions& actions, TimePoint now) {
+      handleGone(actions, now);
+      core_.tick(now, actions);
+      const ControlSession& session = core_.session();
+      const std::string current = session.configuration().version.toString();
+      if (session.ready() && (!was_ready || current != version)) {
+        logChange("configuration_in_force",
+                  {{"version", current}, {"stale", session.stale() ? "true" : "false"}});
+        was_ready = true;
+        version = current;
+      }
+    });
+  }
+}
+
+void DaemonProcess::Impl::onGone(GoneKind kind, HttpToken token) {
+  const std::lock_guard<std::mutex> lock(gone_mutex_);
+  gone_.push_back({kind, token});
+}
+
+void DaemonProcess::Impl::handleGone(DaemonActions& actions, TimePoint now) {
+  std::vector<Gone> gone;
+  {
+    const std::lock_guard<std::mutex> lock(gone_mutex_);
+    gone.swap(gone_);
+  }
+  for (const Gone& event : gone) {
+    if (event.kind == GoneKind::kFront) {
+      core_.onRequesterGone(frontToken(event.token), now, actions);
+    } else if (event.kind == GoneKind::kEgress) {
+      core_.onRequesterGone(egressToken(event.token), now, actions);
+    } else {
+      const auto call = peer_calls_.find(event.token);
+      if (call != peer_calls_.end()) {
+        const CallId id = call->second;
+        peer_calls_.erase(call);
+        peer_tokens_.erase(id);
+        core_.onPeerGone(id, now, actions);
+      }
+    }
+  }
+}
+
+void DaemonProcess::Impl::onFront(HttpToken token, const HttpRequest& request) {
+  RequestRejection rejection;
+  const auto front = parseFrontRequest(request, rejection);
+  if (!front) {
+    front_server_->respond(token, responseOf(rejection));
+    return;
+  }
+  withCore([&](DaemonActions& actions, TimePoint now) {
+    core_.onFrontRequest(frontToken(token), *front, now, actions);
+  });
+}
+
+void DaemonProcess::Impl::onEgress(HttpToken token, const HttpRequest& request) {
+  RequestRejection rejection;
+  const auto egress = parseEgressRequest(request, rejection);
+  if (!egress) {
+    egress_server_->respond(token, responseOf(rejection));
+    return;
+  }
+  withCore([&](DaemonActions& actions, TimePoint now) {
+    core_.onEgressRequest(egressToken(token), *egress, now, actions);
+  });
+}
+
+void DaemonProcess::Impl::onPeer(HttpToken token, const HttpRequest& request) {
+  const auto call =
+      request.path == kPeerCallPath ? decode<CallRequest>(request.body) : std::nullopt;
+  if (!call) {
+    HttpResponse response;
+    response.status = 400;
+    response.body = "expected a call as CBOR\n";
+    peer_server_->respond(token, std::move(response));
+    return;
+  }
+  withCore([&](DaemonActions& actions, TimePoint now) {
+    if (!peer_tokens_.emplace(call->id, token).second) {
+      // A copy of a call that is under way: the first one keeps its connection for the answer.
+      HttpResponse response;
+      response.content_type = kCborType;
+      response.body = encode(errorCallAnswer(call->id, ErrorKind::kDuplicateCall));
+      peer_server_->respond(token, std::move(response));
+      return;
+    }
+    peer_calls_[token] = call->id;
+    core_.onPeerRequest(*call, now, actions);
+  });
+}
+
+void DaemonProcess::Impl::perform(DispatchToBackend& action) {
+  HttpClientRequest request;
+  request.method = action.payload.method;
+  request.url = "http://" + settings_.backend.toString() + action.payload.path;
+  request.headers = {{headers::kHandle, action.handle},
+                     {headers::kRequest, action.request_id},
+                     {headers::kDeadline, std::to_string(action.time_left.count() / 1000)}};
+  if (!action.payload.content_type.empty()) {
+    request.headers.push_back({"Content-Type", action.payload.content_type});
+  }
+  request.body = std::move(action.payload.body);
+  request.timeout = kMaximumDeadline * 2;  // The core decides when to give up.
+  request.fresh_connection = !action.repeatable;
+  const CallId id = action.id;
+  backend_requests_[id] =
+      backend_.send(std::move(request),
+                    [this, id](const HttpClientResult& result) { onBackendResult(id, result); });
+}
+
+void DaemonProcess::Impl::onBackendResult(const CallId& id, const HttpClientResult& result) {
+  withCore([&](DaemonActions& actions, TimePoint now) {
+    backend_requests_.erase(id);
+    if (!result.complete) {
+      core_.onBackendFailure(id, result.never_sent, now, actions);
+      return;
+    }
+    BackendAnswer answer;
+    answer.status = static_cast<std::uint32_t>(result.status);
+    answer.content_type = result.header("Content-Type");
+    answer.body = result.body;
+    answer.draining = !result.header(headers::kDraining).empty();
+    // A back end that sheds says so with this status and names the outcome.
+    answer.refused = result.status == kBackendShedStatus &&
+                     result.header(headers::kOutcome) == outcomeName(Outcome::kNotRun);
+    core_.onBackendAnswer(id, answer, now, actions);
+  });
+}
+
+void DaemonProcess::Impl::perform(CancelBackend& action) {
+  const auto found = backend_requests_.find(action.id);
+  if (found != backend_requests_.end()) {
+    backend_.cancel(found->second);
+    backend_requests_.erase(found);
+  }
+}
+
+void DaemonProcess::Impl::perform(AnswerPeer& action) {
+  const auto found = peer_tokens_.find(action.answer.id);
+  if (found == peer_tokens_.end()) {
+    return;
+  }
+  const HttpToken token = found->second;
+  peer_tokens_.erase(found);
+  peer_calls_.erase(token);
+  HttpResponse response;
+  response.content_type = kCborType;
+  response.body = encode(action.answer);
+  peer_server_->respond(token, std::move(response));
+}
+
+void DaemonProcess::Impl::perform(SendToPeer& action) {
+  HttpClientRequest request;
+  request.url = "http://" + action.peer_address + kPeerCallPath;
+  request.headers = {{"Content-Type", kCborType}};
+  request.timeout = action.request.context.time_left + seconds(1);
+  request.body = encode(action.request);
+  const CallId id = action.request.id;
+  peer_requests_[id] = peers_.send(
+      std::move(request), [this, id](const HttpClientResult& result) { onPeerResult(id, result); });
+}
+
+void DaemonProcess::Impl::onPeerResult(const CallId& id, const HttpClientResult& result) {
+  std::optional<CallAnswer> answer;
+  if (result.complete && result.status == 200) {
+    answer = decode<CallAnswer>(result.body);
+  }
+  withCore([&](DaemonActions& actions, TimePoint now) {
+    peer_requests_.erase(id);
+    if (answer) {
+      core_.onPeerAnswer(id, *answer, now, actions);
+    } else {
+      core_.onPeerFailure(id, result.never_sent, now, actions);
+    }
+  });
+}
+
+void DaemonProcess::Impl::perform(CancelPeer& action) {
+  const auto found = peer_requests_.find(action.id);
+  if (found != peer_requests_.end()) {
+    peers_.cancel(found->second);
+    peer_requests_.erase(found);
+  }
+}
+
+void DaemonProcess::Impl::perform(AnswerRequest& action) {
+  HttpServer& server = action.token % 2 == 0 ? *front_server_ : *egress_server_;
+  server.respond(action.token / 2, responseOf(action.answer));
+}
+
+void DaemonProcess::Impl::perform(SendToControl& action) {
+  const std::uint64_t request_id = action.request_id;
+  sendControlRequest(control_, action.address, action.request, action.timeout,
+                     [this, request_id](const std::optional<ControlReply>& reply) {
+                       withCore([&](DaemonActions& actions, TimePoint now) {
+                         core_.onControlReply(request_id, reply, now, actions);
+                       });
+                     });
+}
+
+void DaemonProcess::Impl::perform(SaveConfiguration& action) {
+  if (files_ != nullptr &&
+      !replaceFile(*files_, kConfigurationFile, encode(action.configuration))) {
+    logChange("configuration_not_saved", {{"folder", settings_.data_folder}});
+  }
+}
+
+MetricsPage DaemonProcess::Impl::metrics() {
+  MetricsPage page;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const InboundCounters& in = core_.inbound().counters();
+  const OutboundCounters& out = core_.outbound().counters();
+  const FrontCounters& front = core_.frontCounters();
+  const ControlSessionCounters& session = core_.session().counters();
+  page.counter("front_requests_total", "Requests of callers.", front.requests);
+  page.counter("front_shed_total", "Refused at the front for overload down the chain.", front.shed);
+  page.counter("front_refused_total", "Refused at the front for other reasons.", front.refused);
+  page.counter("front_cancelled_total", "Callers that went away.", front.cancelled);
+  page.counter("egress_without_context_total", "Back-end calls made for no call in progress.",
+               front.egress_without_context);
+  page.counter("inbound_received_total", "Calls for the own back end.", in.received);
+  page.counter("inbound_dispatched_total", "Calls handed to the back end.", in.dispatched);
+  page.counter("inbound_answered_total", "Calls the back end answered.", in.answered);
+  page.counter("inbound_refused_overload_total", "Refused for load.", in.refused_overload);
+  page.counter("inbound_refused_deadline_total", "Refused for their deadline.",
+               in.refused_deadline);
+  page.counter("inbound_refused_draining_total", "Refused while draining.", in.refused_draining);
+  page.counter("inbound_duplicates_total", "Copies of calls, refused.", in.duplicates);
+  page.counter("inbound_cancelled_total", "Calls whose caller went away.", in.cancelled);
+  page.counter("claims_denied_total", "Claims that another attempt held.", in.claims_denied);
+  page.counter("claims_timed_out_total", "Claims without a quorum.", in.claims_timed_out);
+  page.counter("outbound_calls_total", "Calls made.", out.started);
+  page.counter("outbound_attempts_total", "Attempts sent.", out.attempts);
+  page.counter("outbound_retries_total", "Attempts after the first.", out.retries);
+  page.counter("outbound_retries_denied_total", "Retries not allowed.", out.retries_denied);
+  page.counter("outbound_late_answers_total", "Answers to closed attempts.", out.late_answers);
+  page.counter("outbound_mismatched_answers_total", "Answers that failed the check.",
+               out.mismatched_answers);
+  page.counter("outbound_no_server_total", "Calls without a server.", out.no_server);
+  page.counter("control_polls_total", "Polls of control members.", session.polls);
+  page.counter("control_poll_failures_total", "Polls that failed.", session.poll_failures);
+  page.counter("control_upstream_changes_total", "Changes of control member.",
+               session.upstream_changes);
+  page.counter("configurations_taken_total", "Newer configurations.", session.configurations_taken);
+  page.counter("configurations_refused_total", "Older configurations, refused.",
+               session.configurations_refused);
+  page.gauge("in_flight", "Calls at the back end.",
+             static_cast<double>(core_.inbound().inFlight()));
+  page.gauge("queued", "Calls waiting for a slot.", static_cast<double>(core_.inbound().queued()));
+  page.gauge("concurrency_limit", "Slots used at the most.", core_.inbound().concurrencyLimit());
+  page.gauge("admission_cut", "Levels above this are refused.", core_.inbound().cut());
+  page.gauge("draining", "1 while no new work is taken.", core_.inbound().draining() ? 1 : 0);
+  page.gauge("configuration_index", "Log index of the version in force.",
+             static_cast<double>(core_.session().configuration().version.index));
+  page.gauge("configuration_stale", "1 until a quorum confirmed the version.",
+             core_.session().stale() ? 1 : 0);
+  page.addProcessMetrics();
+  return page;
+}
+
+DaemonProcess::DaemonProcess(DaemonSettings settings)
+    : impl_(std::make_unique<Impl>(std::move(settings))) {}
+DaemonProcess::~DaemonProcess() = default;
+std::optional<std::string> DaemonProcess::start() {
+  return impl_->start();
+}
+void DaemonProcess::drainAndStop() {
+  impl_->drainAndStop();
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/lab/sim_main.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
