--- a/core/configuration.cc
+++ b/core/configuration.cc
@@ -76,7 +76,7 @@
     return false;
   }
   const bool other_group = hasAny() && candidate.group_id != current_.group_id;
-  const bool newer = !hasAny() || current_.version < candidate.version;
+  const bool newer = !hasAny() || !refuse_older_ || current_.version < candidate.version;
   if (other_group || !newer) {
     return false;
   }
--- a/core/configuration.h
+++ b/core/configuration.h
@@ -128,12 +128,15 @@
 /// control group once one is held.
 class ConfigurationHolder {
  public:
+  /// `refuse_older` is false only in a variant that proves the scenarios.
+  explicit ConfigurationHolder(bool refuse_older = true) : refuse_older_(refuse_older) {}
   /// Takes `candidate` if it is newer than what is held. Returns whether it was taken.
   bool offer(const Configuration& candidate);
   [[nodiscard]] bool hasAny() const { return current_.group_id != 0; }
   [[nodiscard]] const Configuration& current() const { return current_; }
 
  private:
+  bool refuse_older_;
   Configuration current_;
 };
 
--- a/core/control_session.cc
+++ b/core/control_session.cc
@@ -17,7 +17,9 @@
 }  // namespace
 
 ControlSession::ControlSession(ControlSessionOptions options)
-    : options_(std::move(options)), random_(options_.random_seed) {
+    : options_(std::move(options)),
+      random_(options_.random_seed),
+      holder_(options_.refuse_older_configuration) {
   upstream_ = random_.below(options_.control_addresses.size());
 }
 
--- a/core/control_session.h
+++ b/core/control_session.h
@@ -28,6 +28,7 @@
   Duration hold = seconds(3);  ///< How long a member may hold a poll.
   Duration answer_margin = milliseconds(700);
   Duration stale_after = seconds(2);  ///< Without a quorum read, go on with what is known.
+  bool refuse_older_configuration = true;
   std::uint64_t random_seed = 1;
 };
 
--- a/core/daemon_core.cc
+++ b/core/daemon_core.cc
@@ -7,6 +7,11 @@
 
 constexpr std::uint32_t kMaximumDepth = 64;
 constexpr Duration kNotReadyRetryAfter = milliseconds(500);
+// A leaving daemon goes on refusing for a while, so that nobody's call meets a closed port: until
+// its peers have heard of it, by an answer or from the control group.
+constexpr Duration kShortestDrain = seconds(1);
+constexpr Duration kQuietBeforeStop = milliseconds(300);
+constexpr Duration kLongestLinger = seconds(5);
 
 InboundOptions inboundOptions(const DaemonOptions& options) {
   InboundOptions inbound;
@@ -24,6 +29,7 @@
   session.incarnation = options.incarnation;
   session.started_ms = options.started_ms;
   session.control_addresses = options.control_addresses;
+  session.refuse_older_configuration = options.policy.refuse_older_configuration;
   session.random_seed = options.random_seed + 2;
   return session;
 }
@@ -63,6 +69,7 @@
 void DaemonCore::onFrontRequest(RequestToken token, const FrontRequest& request, TimePoint now,
                                 DaemonActions& actions) {
   front_counters_.requests += 1;
+  last_arrival_ = now;
   if (draining_) {
     answerAtOnce(token, ErrorKind::kDraining, kNotReadyRetryAfter, actions);
     return;
@@ -125,6 +132,7 @@
 }
 
 void DaemonCore::onPeerRequest(const CallRequest& request, TimePoint now, DaemonActions& actions) {
+  last_arrival_ = now;
   inbound_.onRequest(request, now, actions);
   settle(now, actions);
 }
@@ -176,17 +184,28 @@
   takeConfiguration();
 }
 
-void DaemonCore::startDrain() {
+void DaemonCore::startDrain(TimePoint now) {
+  if (!draining_) {
+    drain_started_ = last_arrival_ = now;
+  }
   draining_ = true;
-  inbound_.startDrain();
-  session_.setDraining(true);
+  if (options_.policy.refuse_when_draining) {
+    inbound_.startDrain();
+    session_.setDraining(true);
+  }
 }
 
-bool DaemonCore::drained() const {
-  return draining_ && inbound_.idle() && outbound_.idle() && !session_.hasUnsentClaims();
+bool DaemonCore::drained(TimePoint now) const {
+  const Duration draining_for = now - drain_started_;
+  const bool quiet = draining_for >= kShortestDrain &&
+                     (now - last_arrival_ >= kQuietBeforeStop || draining_for >= kLongestLinger);
+  return draining_ && quiet && inbound_.idle() && outbound_.idle() && !session_.hasUnsentClaims();
 }
 
 void DaemonCore::takeConfiguration() {
+  if (!options_.policy.refuse_when_draining) {
+    return;
+  }
   const auto& drained = session_.configuration().draining_servers;
   router_.setDrainedByOperator(drained);
   const bool drained_here =
--- a/core/daemon_core.h
+++ b/core/daemon_core.h
@@ -76,9 +76,10 @@
 
   void offerSavedConfiguration(const Configuration& configuration);
   /// Refuses all new work as not_run; what is under way finishes.
-  void startDrain();
-  /// Nothing is under way and nothing is left to tell the control group.
-  [[nodiscard]] bool drained() const;
+  void startDrain(TimePoint now);
+  /// Nothing is under way, nothing is left to tell the control group, and for a while nobody has
+  /// sent anything: the process may end.
+  [[nodiscard]] bool drained(TimePoint now) const;
 
   [[nodiscard]] const DaemonOptions& options() const { return options_; }
   [[nodiscard]] const InboundCalls& inbound() const { return inbound_; }
@@ -102,6 +103,8 @@
   FrontDoor front_;
   std::map<RequestToken, std::shared_ptr<CallScope>> front_requests_;
   bool draining_ = false;
+  TimePoint drain_started_{0};
+  TimePoint last_arrival_{0};
   FrontCounters front_counters_;
 };
 
--- a/core/inbound_calls.cc
+++ b/core/inbound_calls.cc
@@ -37,12 +37,13 @@
     return;
   }
   counters_.received += 1;
-  if (!seen_.firstTime(request.id, now)) {
+  const bool copy = !seen_.firstTime(request.id, now);
+  if (copy && (options_.policy.refuse_copies || calls_.count(request.id) != 0)) {
     counters_.duplicates += 1;
     refuse(request, ErrorKind::kDuplicateCall, now, actions);
     return;
   }
-  if (draining_) {
+  if (draining_ && options_.policy.refuse_when_draining) {
     counters_.refused_draining += 1;
     refuse(request, ErrorKind::kDraining, now, actions);
     return;
@@ -100,7 +101,7 @@
 void InboundCalls::start(Call& call, TimePoint now, DaemonActions& actions) {
   in_flight_ += 1;
   cut_.onDispatched();
-  if (call.request.context.idempotency_key.empty()) {
+  if (!needsClaim(call)) {
     dispatch(call, now, actions);
     return;
   }
@@ -125,6 +126,10 @@
   actions.emplace_back(std::move(dispatch));
 }
 
+bool InboundCalls::needsClaim(const Call& call) const {
+  return options_.policy.claim_before_dispatch && !call.request.context.idempotency_key.empty();
+}
+
 ClaimCommand InboundCalls::claimCommandOf(const Call& call) const {
   ClaimCommand command;
   command.key = call.request.context.idempotency_key;
@@ -224,7 +229,7 @@
 
 // Tells the control group how a claimed call went.
 void InboundCalls::complete(Call& call, CallAnswer& answer, TimePoint /*now*/) {
-  if (call.request.context.idempotency_key.empty()) {
+  if (!needsClaim(call)) {
     return;
   }
   const bool never_ran = answer.outcome == Outcome::kNotRun;
@@ -296,7 +301,7 @@
   Call& call = position->second;
   counters_.cancelled += 1;
   call.abandoned = true;
-  const bool claimed = !call.request.context.idempotency_key.empty();
+  const bool claimed = needsClaim(call);
   if (call.state == State::kDispatched && claimed) {
     return;  // It runs to its end, so that its answer can be kept for a repeat.
   }
@@ -338,7 +343,7 @@
   std::vector<CallId> claims_due;
   std::vector<CallId> calls_due;
   for (const auto& [id, call] : calls_) {
-    const bool claimed = !call.request.context.idempotency_key.empty();
+    const bool claimed = needsClaim(call);
     const Duration grace = claimed ? kClaimedCallGrace : Duration(0);
     if (call.state == State::kClaiming && now >= call.claim_due) {
       claims_due.push_back(id);
--- a/core/inbound_calls.h
+++ b/core/inbound_calls.h
@@ -115,6 +115,7 @@
   void expire(TimePoint now, DaemonActions& actions);
   void claimAction(CommandType type, const Call& call, const CallAnswer* answer);
   void stamp(CallAnswer& answer) const;
+  [[nodiscard]] bool needsClaim(const Call& call) const;
   [[nodiscard]] ClaimCommand claimCommandOf(const Call& call) const;
   [[nodiscard]] std::size_t queueBound() const;
   [[nodiscard]] Duration retryAfter();
--- a/core/outbound_calls.cc
+++ b/core/outbound_calls.cc
@@ -106,7 +106,8 @@
 
 void OutboundCalls::onAnswer(const CallId& attempt, const CallAnswer& answer, TimePoint now,
                              DaemonActions& actions) {
-  const bool intact = answer.id == attempt && answer.body_checksum == bodyChecksum(answer.body);
+  const bool intact = !policy_.check_answer_id ||
+                      (answer.id == attempt && answer.body_checksum == bodyChecksum(answer.body));
   if (!intact) {
     counters_.mismatched_answers += 1;
     onFailure(attempt, false, now, actions);
--- a/core/overload_policy.cc
+++ b/core/overload_policy.cc
@@ -47,10 +47,46 @@
   return policy;
 }
 
-std::vector<OverloadPolicy> allPolicies() {
+// ramppond with one safety rule left out, by its name.
+OverloadPolicy without(const std::string& name, bool OverloadPolicy::*rule) {
+  OverloadPolicy policy = ramppondPolicy();
+  policy.name = "without-" + name;
+  policy.*rule = false;
+  return policy;
+}
+
+OverloadPolicy withoutChainAllowance() {
+  OverloadPolicy policy = ramppondPolicy();
+  policy.name = "without-chain-allowance";
+  policy.retry_scope = RetryScope::kPerHop;
+  policy.retry_token_bucket = false;
+  return policy;
+}
+
+OverloadPolicy withoutLevels() {
+  OverloadPolicy policy = ramppondPolicy();
+  policy.name = "without-levels";
+  policy.queue_order = QueueOrder::kFifo;
+  policy.shed_at_front = false;
+  return policy;
+}
+
+std::vector<OverloadPolicy> productPolicies() {
   return {ramppondPolicy(), nonePolicy(), staticLimitPolicy(), perHopAdaptivePolicy()};
 }
 
+std::vector<OverloadPolicy> allPolicies() {
+  std::vector<OverloadPolicy> policies = productPolicies();
+  policies.push_back(without("claims", &OverloadPolicy::claim_before_dispatch));
+  policies.push_back(without("copy-check", &OverloadPolicy::refuse_copies));
+  policies.push_back(without("drain", &OverloadPolicy::refuse_when_draining));
+  policies.push_back(without("configuration-order", &OverloadPolicy::refuse_older_configuration));
+  policies.push_back(without("answer-check", &OverloadPolicy::check_answer_id));
+  policies.push_back(withoutChainAllowance());
+  policies.push_back(withoutLevels());
+  return policies;
+}
+
 }  // namespace
 
 std::optional<OverloadPolicy> findOverloadPolicy(const std::string& name) {
@@ -65,7 +101,7 @@
 
 std::vector<std::string> overloadPolicyNames() {
   std::vector<std::string> names;
-  for (const OverloadPolicy& policy : allPolicies()) {
+  for (const OverloadPolicy& policy : productPolicies()) {
     names.push_back(policy.name);
   }
   return names;
--- a/core/overload_policy.h
+++ b/core/overload_policy.h
@@ -42,10 +42,19 @@
   bool cancel_tree = true;         ///< A caller that goes away cancels its call tree.
   /// Positions by which a call of a started front request is preferred within its band.
   std::uint32_t started_work_preference = 64;
+  // Safety rules. Always on in a product policy; a variant without one shows that the scenario
+  // which guards it can fail.
+  bool claim_before_dispatch = true;  ///< Commit-once calls claim their key first.
+  bool refuse_copies = true;          ///< A call id is taken once.
+  bool refuse_when_draining = true;   ///< A leaving server takes nothing new.
+  bool refuse_older_configuration = true;
+  bool check_answer_id = true;  ///< An answer must echo the attempt it answers.
 };
 
-/// The policy of that name: ramppond, none, static-limit, per-hop-adaptive and older versions.
+/// The policy of that name: a product policy, or "without-..." for a variant that leaves out one
+/// rule and serves to prove scenarios only.
 std::optional<OverloadPolicy> findOverloadPolicy(const std::string& name);
+/// Policies that a daemon may be given.
 std::vector<std::string> overloadPolicyNames();
 
 }  // namespace ramppond
--- a/daemon/daemon_process.cc
+++ b/daemon/daemon_process.cc
@@ -154,7 +154,7 @@
   admin_ = std::make_unique<AdminPages>(settings_.admin, "ramppond-daemon " + settings_.server,
                                         [this] { return metrics(); });
   admin_->onPost("/drain", [this](const std::string&) {
-    withCore([this](DaemonActions&, TimePoint) { core_.startDrain(); });
+    withCore([this](DaemonActions&, TimePoint now) { core_.startDrain(now); });
     logChange("draining", {{"cause", "admin port"}});
     return std::string("draining\n");
   });
@@ -193,12 +193,12 @@
 }
 
 void DaemonProcess::Impl::drainAndStop() {
-  withCore([this](DaemonActions&, TimePoint) { core_.startDrain(); });
+  withCore([this](DaemonActions&, TimePoint now) { core_.startDrain(now); });
   logChange("draining", {{"cause", "signal"}});
   for (;;) {
     std::this_thread::sleep_for(kTickInterval);
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (core_.drained()) {
+    if (core_.drained(monotonicNow())) {
       break;
     }
   }
--- a/lab/backend_process.cc
+++ b/lab/backend_process.cc
@@ -192,6 +192,7 @@
   event.kind = run.body.kind;
   event.place = settings_.service + run.route->path;
   event.call = run.body.call;
+  event.parent = run.body.parent;
   history_.record(event);
   const double sigma = run.route->work_sigma;
   // The mean of a lognormal is exp(mu + sigma^2 / 2).
@@ -221,6 +222,7 @@
   const RouteCall& call = run.route->calls[index];
   WorkBody body = run.body;
   body.call += "." + std::to_string(index);
+  body.parent = run.handle;
   HttpClientRequest request;
   // A GET has no body, so the rig's own calls are all sent with one.
   request.method = call.repeatable ? "GET" : "POST";
--- a/lab/history.cc
+++ b/lab/history.cc
@@ -10,22 +10,23 @@
 namespace ramppond {
 namespace {
 
-constexpr std::array<const char*, 9> kNames = {"caller_sent",      "caller_answered", "backend_ran",
-                                               "backend_draining", "backend_stopped", "in_force",
-                                               "plan_confirmed",   "server_killed",   "refused"};
+constexpr std::array<const char*, 9> kNames = {
+    "caller_sent", "caller_answered", "backend_ran",   "backend_draining", "backend_stopped",
+    "in_force",    "plan_confirmed",  "server_killed", "attempt_sent"};
 
 struct TextField {
   const char* name;
   std::string HistoryEvent::*member;
 };
 
-constexpr std::array<TextField, 10> kTextFields = {{{"who", &HistoryEvent::who},
+constexpr std::array<TextField, 11> kTextFields = {{{"who", &HistoryEvent::who},
                                                     {"nonce", &HistoryEvent::nonce},
                                                     {"key", &HistoryEvent::key},
                                                     {"work", &HistoryEvent::work},
                                                     {"kind", &HistoryEvent::kind},
                                                     {"place", &HistoryEvent::place},
                                                     {"call", &HistoryEvent::call},
+                                                    {"parent", &HistoryEvent::parent},
                                                     {"outcome", &HistoryEvent::outcome},
                                                     {"error", &HistoryEvent::error},
                                                     {"detail", &HistoryEvent::detail}}};
--- a/lab/history.h
+++ b/lab/history.h
@@ -19,7 +19,7 @@
   kConfigurationInForce = 5,  ///< A daemon put a version in force.
   kPlanConfirmed = 6,         ///< An operator was told that a version is confirmed.
   kServerKilled = 7,          ///< The rig killed the server without notice.
-  kRefusedByDaemon = 8,       ///< A daemon refused a front request or a call for load.
+  kAttemptSent = 8,           ///< A daemon sent an attempt of a call to another.
 };
 
 /// One observation. Fields that an event does not need stay empty.
@@ -33,6 +33,7 @@
   std::string kind;          ///< Kind of work.
   std::string place;         ///< Back end: service and path.
   std::string call;          ///< Back end: position in the call tree, e.g. "0.2.1".
+  std::string parent;        ///< Run that made the call; empty for a caller.
   std::string outcome;       ///< Answer: not_run, ran, unknown.
   std::string error;         ///< Answer: error kind.
   std::string detail;        ///< Answer: nonce found in the body. Configuration: version.
--- a/lab/promise_checkers.cc
+++ b/lab/promise_checkers.cc
@@ -105,27 +105,42 @@
 }
 
 Violations checkRetryAllowance(const History& history, std::uint32_t allowance) {
+  // Attempts of one call by one run of its caller: all but the first are retries.
+  struct Tree {
+    std::uint64_t caller_attempts = 0;
+    std::map<std::pair<std::string, std::string>, std::uint64_t> sent;  // By parent and node.
+    std::map<std::pair<std::string, std::string>, std::uint64_t> ran;
+    bool reported = false;
+  };
+  const auto retriesOf = [](const auto& counts, std::uint64_t caller_attempts) {
+    std::uint64_t retries = 0;
+    for (const auto& [call, count] : counts) {
+      // A caller's own repeats are front requests of their own, each with an allowance.
+      const std::uint64_t first_attempts = call.first.empty() ? caller_attempts : 1;
+      retries += count - std::min(count, first_attempts);
+    }
+    return retries;
+  };
   Violations violations;
-  std::map<std::string, std::uint64_t> caller_attempts;
-  std::map<std::string, std::uint64_t> runs;
-  std::map<std::string, std::set<std::string>> nodes;
-  std::set<std::string> reported;
+  std::map<std::string, Tree> trees;
   for (const HistoryEvent& event : history) {
     if (event.type == HistoryEventType::kCallerSent) {
-      caller_attempts[event.nonce] += 1;
+      trees[event.nonce].caller_attempts += 1;
+      continue;
     }
-    if (!isRun(event)) {
+    if (!isRun(event) && event.type != HistoryEventType::kAttemptSent) {
       continue;
     }
-    runs[event.nonce] += 1;
-    nodes[event.nonce].insert(event.call);
-    // Every attempt of the caller is a front request of its own with a tree and an allowance.
-    const std::uint64_t attempts = std::max<std::uint64_t>(1, caller_attempts[event.nonce]);
-    const std::uint64_t allowed = attempts * (nodes[event.nonce].size() + allowance);
-    if (runs[event.nonce] > allowed && reported.insert(event.nonce).second) {
+    Tree& tree = trees[event.nonce];
+    auto& counts = isRun(event) ? tree.ran : tree.sent;
+    counts[{event.parent, event.call}] += 1;
+    const std::uint64_t callers = std::max<std::uint64_t>(1, tree.caller_attempts);
+    const std::uint64_t retries = retriesOf(counts, callers);
+    if (retries > callers * allowance && !tree.reported) {
+      tree.reported = true;
       violations.push_back({"retry-budget", event.time_us, event.nonce,
-                            std::to_string(runs[event.nonce]) + " runs, at most " +
-                                std::to_string(allowed) + " allowed"});
+                            std::to_string(retries) + " retries, at most " +
+                                std::to_string(callers * allowance) + " allowed"});
     }
   }
   return violations;
@@ -219,13 +234,13 @@
   return violations;
 }
 
-Violations checkShedOrder(const History& history, std::int64_t from_us, std::int64_t to_us,
-                          double margin) {
+Violations checkShedOrder(const History& history, const std::set<std::string>& works,
+                          std::int64_t from_us, std::int64_t to_us, double margin) {
   constexpr std::array<const char*, 3> kShedFirstToLast = {"bulk", "lookup", "commit_once"};
   std::map<std::string, std::pair<double, double>> counts;  // Kind to answered, refused.
   for (const HistoryEvent& event : history) {
     if (event.type != HistoryEventType::kCallerAnswered || event.time_us < from_us ||
-        event.time_us > to_us) {
+        event.time_us > to_us || works.count(event.work) == 0) {
       continue;
     }
     counts[event.kind].first += 1;
--- a/lab/promise_checkers.h
+++ b/lab/promise_checkers.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,7 +29,8 @@
 Violations checkNotRunTruth(const History& history);
 /// A commit-once request runs at most once per key.
 Violations checkAtMostOnce(const History& history);
-/// Runs beyond one per node of a call tree stay within the allowance for each caller attempt.
+/// Retries, wherever in the call tree, stay within the allowance of each caller attempt. A retry
+/// is any attempt but the first of one call by one run of its caller.
 Violations checkRetryAllowance(const History& history, std::uint32_t allowance);
 /// A leaving server runs nothing new later than `grace` after it was told to leave.
 Violations checkDraining(const History& history, Duration grace);
@@ -40,10 +42,10 @@
                               Duration deadline);
 /// Of several plans made against one version at most one was confirmed.
 Violations checkOneWinner(const History& history);
-/// From `from_us` to `to_us` no kind was refused in a larger share than a kind that is shed before
-/// it, beyond `margin`.
-Violations checkShedOrder(const History& history, std::int64_t from_us, std::int64_t to_us,
-                          double margin);
+/// From `from_us` to `to_us`, among work types that compete for the same servers, no kind was
+/// refused in a larger share than a kind that is shed before it, beyond `margin`.
+Violations checkShedOrder(const History& history, const std::set<std::string>& works,
+                          std::int64_t from_us, std::int64_t to_us, double margin);
 
 /// The first events that name `nonce`, for the report of a violation.
 std::vector<std::string> describeRequest(const History& history, const std::string& nonce);
--- /dev/null
+++ b/lab/simulation/world.h
@@ -0,0 +1,42 @@
+// What all simulated processes share: time, network, randomness, the recorder and the deployment.
+#pragma once
+
+#include <string>
+
+#include "core/overload_policy.h"
+#include "core/random.h"
+#include "lab/deployment.h"
+#include "lab/simulation/event_queue.h"
+#include "lab/simulation/network.h"
+#include "lab/simulation/recorder.h"
+
+namespace ramppond {
+
+struct World {
+  World(const Deployment& the_deployment, const OverloadPolicy& the_policy,
+        const NetworkOptions& network_options, std::uint64_t seed, bool keep_history)
+      : deployment(the_deployment),
+        policy(the_policy),
+        random(seed),
+        network(events, network_options, seed + 1),
+        recorder(keep_history) {}
+
+  [[nodiscard]] TimePoint now() const { return events.now(); }
+  /// An event of now, to be filled in and recorded.
+  [[nodiscard]] HistoryEvent event(HistoryEventType type, const std::string& who) const {
+    HistoryEvent event;
+    event.time_us = now().count();
+    event.type = type;
+    event.who = who;
+    return event;
+  }
+
+  const Deployment& deployment;
+  OverloadPolicy policy;
+  EventQueue events;
+  Random random;
+  SimulatedNetwork network;
+  Recorder recorder;
+};
+
+}  // namespace ramppond
--- a/lab/work_body.cc
+++ b/lab/work_body.cc
@@ -11,7 +11,7 @@
 
 std::string formatWorkBody(const WorkBody& body, std::size_t padding) {
   return body.nonce + '\n' + body.key + '\n' + body.call + '\n' + body.work + '\n' + body.kind +
-         '\n' + std::string(padding, '.') + '\n' + kEnd + '\n';
+         '\n' + body.parent + '\n' + std::string(padding, '.') + '\n' + kEnd + '\n';
 }
 
 std::optional<WorkBody> parseWorkBody(const std::string& text) {
@@ -21,8 +21,8 @@
   std::string end;
   const bool whole = std::getline(lines, body.nonce) && std::getline(lines, body.key) &&
                      std::getline(lines, body.call) && std::getline(lines, body.work) &&
-                     std::getline(lines, body.kind) && std::getline(lines, padding) &&
-                     std::getline(lines, end) && end == kEnd;
+                     std::getline(lines, body.kind) && std::getline(lines, body.parent) &&
+                     std::getline(lines, padding) && std::getline(lines, end) && end == kEnd;
   if (!whole) {
     return std::nullopt;
   }
--- a/lab/work_body.h
+++ b/lab/work_body.h
@@ -14,6 +14,9 @@
   std::string call;  ///< "0" at the front, then one number per hop.
   std::string work;  ///< Work type, for the history.
   std::string kind;
+  /// The run of a back end that makes the call; empty at the front. Two attempts that share it
+  /// are a call and its retry.
+  std::string parent;
 };
 
 std::string formatWorkBody(const WorkBody& body, std::size_t padding);
