--- a/common/metrics.cc
+++ b/common/metrics.cc
@@ -91,4 +91,16 @@
   return usage;
 }
 
+std::optional<double> metricIn(const std::string& page, const std::string& name) {
+  std::istringstream lines(page);
+  std::string line;
+  const std::string prefix = "ramppond_" + name + " ";
+  while (std::getline(lines, line)) {
+    if (line.rfind(prefix, 0) == 0) {
+      return std::atof(line.c_str() + prefix.size());
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace ramppond
--- a/common/metrics.h
+++ b/common/metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,9 @@
   std::vector<Metric> metrics_;
 };
 
+/// The value of metric `name` (without prefix) in a Prometheus text page.
+std::optional<double> metricIn(const std::string& page, const std::string& name);
+
 /// Resident memory in bytes and processor time in seconds of a process.
 struct ProcessUsage {
   double resident_bytes = 0;
--- a/core/control_core.cc
+++ b/core/control_core.cc
@@ -11,6 +11,8 @@
 constexpr std::int64_t kAuthorityElectionTimeouts = 3;
 constexpr Duration kLongestHold = seconds(10);
 constexpr std::size_t kMaximumHeardAddresses = 64;
+// A daemon that is further behind than this gets the whole configuration.
+constexpr std::size_t kRememberedDeltas = 64;
 
 }  // namespace
 
@@ -220,16 +222,17 @@
 bool ControlCore::hasNews(const HeldPoll& poll, ControlReply& reply) {
   const PollRequest& request = poll.request;
   bool news = false;
-  const bool newer = request.have < state_.configuration().version;
-  if (newer || (request.quorum_read && state_.configuration().group_id != 0)) {
+  if (request.quorum_read && state_.configuration().group_id != 0) {
     reply.has_configuration = true;
     reply.configuration = state_.configuration();
-    news = newer;
-  }
-  if (poll.seen_registry_version == registry_.version()) {
-    return news;
+  } else if (request.have < state_.configuration().version) {
+    addConfiguration(request.have, reply);
+    news = true;
   }
   for (const ServiceInterest& interest : request.interests) {
+    if (registry_.versionOf(interest.service) <= poll.seen_registry_version) {
+      continue;
+    }
     ServiceServers servers =
         registry_.serversFor(interest.service, request.zone, request.session.server);
     if (servers.digest != interest.digest) {
@@ -240,9 +243,34 @@
   return news;
 }
 
+void ControlCore::addConfiguration(ConfigurationVersion have, ControlReply& reply) const {
+  const auto first =
+      std::find_if(deltas_.begin(), deltas_.end(),
+                   [&](const ConfigurationDelta& delta) { return delta.base == have; });
+  if (first != deltas_.end()) {
+    reply.deltas.assign(first, deltas_.end());
+    return;
+  }
+  reply.has_configuration = true;
+  reply.configuration = state_.configuration();
+}
+
+void ControlCore::rememberDelta(const Command& command, ConfigurationVersion before) {
+  const Plan* plan = state_.findPlan(command.plan_id);
+  if (plan == nullptr) {
+    deltas_.clear();
+    return;
+  }
+  deltas_.push_back({before, state_.configuration().version, plan->changes});
+  if (deltas_.size() > kRememberedDeltas) {
+    deltas_.pop_front();
+  }
+}
+
 void ControlCore::answerPoll(ControlToken token, ControlReply reply, TimePoint now) {
   reply.authoritative = authoritative(now);
-  counters_.configuration_pushes += reply.has_configuration ? 1 : 0;
+  const bool hands_out = reply.has_configuration || !reply.deltas.empty();
+  counters_.configuration_pushes += hands_out ? 1 : 0;
   answer(token, std::move(reply));
 }
 
@@ -395,7 +423,10 @@
     } else {
       result.error = ErrorKind::kMalformedRequest;
     }
-    configuration_changed_ = configuration_changed_ || before != state_.configuration().version;
+    if (before != state_.configuration().version) {
+      configuration_changed_ = true;
+      rememberDelta(*command, before);
+    }
   }
   state_.setGroupId(raft_.groupId());
   const auto proposal = proposals_.find(entry.index);
@@ -422,6 +453,7 @@
   state_.setGroupId(raft_.groupId());
   applied_ = snapshot.index;
   configuration_changed_ = true;
+  deltas_.clear();
 }
 
 ControlStatus ControlCore::status(TimePoint now) const {
--- a/core/control_core.h
+++ b/core/control_core.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -115,6 +116,8 @@
   void addProposal(ControlToken token, const std::optional<LogIndex>& index);
   void applyEntry(const LogEntry& entry);
   void installSnapshot(const Snapshot& snapshot);
+  void rememberDelta(const Command& command, ConfigurationVersion before);
+  void addConfiguration(ConfigurationVersion have, ControlReply& reply) const;
   void failPendingIfNotLeader();
   void pullSessions(TimePoint now);
   void answer(ControlToken token, ControlReply reply);
@@ -139,6 +142,7 @@
   std::vector<ControlAnswer> answers_;
   std::vector<MemberRequest> member_requests_;
   bool configuration_changed_ = false;
+  std::deque<ConfigurationDelta> deltas_;  ///< The last steps, each on the one before.
   bool was_leader_ = false;
   TimePoint last_contact_{0};
   ControlCounters counters_;
--- a/core/control_messages.h
+++ b/core/control_messages.h
@@ -151,6 +151,21 @@
   }
 };
 
+/// One confirmed step from a version to the next. Daemons apply it with applyChanges(), as the
+/// control group did.
+struct ConfigurationDelta {
+  ConfigurationVersion base;
+  ConfigurationVersion version;
+  std::vector<ConfigurationChange> changes;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, base);
+    visitor(2, version);
+    visitor(3, changes);
+  }
+};
+
 struct ControlReply {
   ErrorKind error = ErrorKind::kNone;
   std::string reason;
@@ -160,7 +175,8 @@
   bool has_configuration = false;
   bool quorum_confirmed = false;
   Configuration configuration;
-  std::vector<ServiceServers> services;  ///< Those that differ from what the daemon has.
+  std::vector<ConfigurationDelta> deltas;  ///< In place of `configuration`, oldest first.
+  std::vector<ServiceServers> services;    ///< Those that differ from what the daemon has.
   CommandResult result;
   std::vector<Plan> plans;
   ControlStatus status;
@@ -186,6 +202,7 @@
     }
     visitor(12, sessions);
     visitor(13, sessions_counter);
+    visitor(14, deltas);
   }
 };
 
--- a/core/control_session.cc
+++ b/core/control_session.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/planning.h"
+
 namespace ramppond {
 namespace {
 
@@ -82,7 +84,7 @@
   poll.session.draining = draining_;
   poll.session.started_ms = options_.started_ms;
   poll.zone = options_.zone;
-  poll.have = holder_.current().version;
+  poll.have = whole_wanted_ ? ConfigurationVersion{} : holder_.current().version;
   poll.quorum_read = !confirmed_;
   poll.hold = hold;
   for (const auto& [service, digest] : interests_) {
@@ -169,7 +171,13 @@
 }
 
 void ControlSession::takeConfiguration(const ControlReply& reply, DaemonActions& actions) {
+  if (offerDeltas(reply.deltas)) {
+    counters_.configurations_taken += 1;
+    configuration_changed_ = true;
+    actions.emplace_back(SaveConfiguration{holder_.current()});
+  }
   if (reply.has_configuration) {
+    whole_wanted_ = false;
     if (holder_.offer(reply.configuration)) {
       counters_.configurations_taken += 1;
       configuration_changed_ = true;
@@ -184,6 +192,22 @@
   }
 }
 
+// Applies what follows the version held; steps that are known already are passed over.
+bool ControlSession::offerDeltas(const std::vector<ConfigurationDelta>& deltas) {
+  Configuration next = holder_.current();
+  for (const ConfigurationDelta& delta : deltas) {
+    if (delta.base != next.version) {
+      continue;
+    }
+    if (applyChanges(delta.changes, next)) {
+      whole_wanted_ = true;
+      return false;
+    }
+    next.version = delta.version;
+  }
+  return next.version != holder_.current().version && holder_.offer(next);
+}
+
 void ControlSession::nextUpstream(TimePoint now) {
   counters_.upstream_changes += 1;
   upstream_ += 1;
--- a/core/control_session.h
+++ b/core/control_session.h
@@ -92,6 +92,7 @@
   void nextUpstream(TimePoint now);
   [[nodiscard]] const std::string& upstreamAddress() const;
   void takeConfiguration(const ControlReply& reply, DaemonActions& actions);
+  bool offerDeltas(const std::vector<ConfigurationDelta>& deltas);
 
   ControlSessionOptions options_;
   Random random_;
@@ -103,6 +104,7 @@
 
   std::map<std::string, std::uint64_t> interests_;  ///< Service to digest.
   bool draining_ = false;
+  bool whole_wanted_ = false;   ///< A delta did not apply: ask for the whole configuration.
   bool session_dirty_ = false;  ///< Something must be told before the held poll returns.
   std::size_t upstream_ = 0;
   std::string leader_address_;
--- a/core/server_registry.cc
+++ b/core/server_registry.cc
@@ -29,13 +29,31 @@
     service_of_server[server.name] = server.service;
     next[server.service].push_back(std::move(server));
   }
-  if (next != services_) {
-    version_ += 1;
+  for (const auto& [service, listed] : next) {
+    const auto present = services_.find(service);
+    if (present == services_.end() || present->second != listed) {
+      markChanged(service);
+    }
+  }
+  for (const auto& [service, present] : services_) {
+    if (next.count(service) == 0) {
+      markChanged(service);
+    }
   }
   services_ = std::move(next);
   service_of_server_ = std::move(service_of_server);
 }
 
+void ServerRegistry::markChanged(const std::string& service) {
+  version_ += 1;
+  service_versions_[service] = version_;
+}
+
+std::uint64_t ServerRegistry::versionOf(const std::string& service) const {
+  const auto found = service_versions_.find(service);
+  return found == service_versions_.end() ? 0 : found->second;
+}
+
 ServerInfo* ServerRegistry::findServer(const std::string& name) {
   const auto service = service_of_server_.find(name);
   if (service == service_of_server_.end()) {
@@ -72,7 +90,7 @@
   }
   server->incarnation = session.incarnation;
   server->leaving = session.draining;
-  version_ += 1;
+  markChanged(server->service);
 }
 
 ServiceServers ServerRegistry::serversFor(const std::string& service, const std::string& zone,
--- a/core/server_registry.h
+++ b/core/server_registry.h
@@ -27,6 +27,8 @@
                                           const std::string& daemon) const;
   /// Grows with every change of what serversFor() may give.
   [[nodiscard]] std::uint64_t version() const { return version_; }
+  /// The value of version() at the last change of one service; 0 if there was none.
+  [[nodiscard]] std::uint64_t versionOf(const std::string& service) const;
 
   /// Sessions changed after counter `since`, for other members; and the present counter.
   [[nodiscard]] std::vector<DaemonSession> sessionsSince(std::uint64_t since) const;
@@ -39,6 +41,7 @@
     TimePoint heard{0};
   };
   void apply(const DaemonSession& session);
+  void markChanged(const std::string& service);
   ServerInfo* findServer(const std::string& name);
 
   std::map<std::string, std::vector<ServerInfo>> services_;
@@ -47,6 +50,7 @@
   std::map<std::uint64_t, std::string> changes_;  ///< Counter to server, the latest change each.
   std::uint64_t counter_ = 0;
   std::uint64_t version_ = 1;
+  std::map<std::string, std::uint64_t> service_versions_;
 };
 
 }  // namespace ramppond
--- a/lab/fleet.cc
+++ b/lab/fleet.cc
@@ -7,6 +7,7 @@
 #include <sstream>
 #include <thread>
 
+#include "common/metrics.h"
 #include "common/process.h"
 #include "control/platform_list.h"
 
@@ -44,18 +45,6 @@
   return sendAndWait(client, std::move(request));
 }
 
-std::optional<double> metricIn(const std::string& page, const std::string& name) {
-  std::istringstream lines(page);
-  std::string line;
-  const std::string prefix = "ramppond_" + name + " ";
-  while (std::getline(lines, line)) {
-    if (line.rfind(prefix, 0) == 0) {
-      return std::atof(line.c_str() + prefix.size());
-    }
-  }
-  return std::nullopt;
-}
-
 }  // namespace
 
 Fleet::Fleet(FleetOptions options, Deployment deployment)
@@ -410,6 +399,10 @@
     info.leaving = std::find(leaving.begin(), leaving.end(), server->name) != leaving.end();
     list.push_back(std::move(info));
   }
+  setPlatformList(list);
+}
+
+void Fleet::setPlatformList(const std::vector<ServerInfo>& list) {
   HttpClientRequest request;
   request.method = "PUT";
   request.url = "http://" + platform_address_.address() + "/servers";
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -41,6 +41,7 @@
   [[nodiscard]] std::vector<std::string> controlAddresses() const;
   [[nodiscard]] std::vector<std::string> serverNames() const;
   [[nodiscard]] std::size_t controlCount() const { return control_.size(); }
+  [[nodiscard]] pid_t controlPid(std::size_t index) const { return control_[index].process->pid(); }
   /// The control member that leads, by what the group says; nothing if there is none.
   std::optional<std::size_t> leader();
 
@@ -57,6 +58,7 @@
   void setSlowdown(const std::string& service, double factor);
   /// What the platform is told; it shows after the lag.
   void tellPlatform(const std::vector<std::string>& leaving);
+  void setPlatformList(const std::vector<ServerInfo>& servers);
 
   /// Runs the operator's command line; gives its exit code and output.
   int operatorCommand(const std::vector<std::string>& arguments, std::string& output);
--- a/net/admin_pages.cc
+++ b/net/admin_pages.cc
@@ -14,8 +14,7 @@
 }
 
 void AdminPages::onPost(const std::string& path, PostAction action) {
-  post_path_ = path;
-  post_action_ = std::move(action);
+  post_actions_[path] = std::move(action);
 }
 
 void AdminPages::answer(HttpToken token, const HttpRequest& request) {
@@ -26,9 +25,9 @@
   } else if (request.method == "GET" && (request.path == "/status" || request.path == "/")) {
     response.content_type = "text/html";
     response.body = collect_().html(title_);
-  } else if (request.method == "POST" && post_action_ && request.path == post_path_) {
+  } else if (request.method == "POST" && post_actions_.count(request.path) != 0) {
     response.content_type = "text/plain";
-    response.body = post_action_(request.body);
+    response.body = post_actions_.at(request.path)(request.body);
   } else {
     response.status = 404;
     response.content_type = "text/plain";
--- a/net/admin_pages.h
+++ b/net/admin_pages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -27,8 +28,7 @@
 
   std::string title_;
   Collector collect_;
-  std::string post_path_;
-  PostAction post_action_;
+  std::map<std::string, PostAction> post_actions_;
   std::unique_ptr<HttpServer> server_;
 };
 
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -67,6 +67,9 @@
 
 namespace {
 
+// Answers are not limited by what requests may be: a small request may ask for much.
+constexpr std::size_t kMaximumResponseBytes = 256 << 20;
+
 template <class Implementation>
 class PistacheHandler : public ph::Handler {
  public:
@@ -95,7 +98,7 @@
                        .flags(Pistache::Tcp::Options::NoDelay | Pistache::Tcp::Options::ReuseAddr |
                               Pistache::Tcp::Options::CloseOnExec)
                        .maxRequestSize(options_.maximum_request_bytes)
-                       .maxResponseSize(options_.maximum_request_bytes * 2)
+                       .maxResponseSize(kMaximumResponseBytes)
                        .backlog(1024);
     endpoint_->init(options);
     endpoint_->setHandler(std::make_shared<PistacheHandler<HttpServer::Impl>>(shared_from_this()));
