--- a/cli/operator_commands.cc
+++ b/cli/operator_commands.cc
@@ -365,7 +365,7 @@
       continue;
     }
     if (!reply->leader_address.empty() && reply->leader_address != address) {
-      const auto from_leader = context.client.askMember(reply->leader_address, request);
+      auto from_leader = context.client.askMember(reply->leader_address, request);
       if (from_leader) {
         return from_leader;
       }
--- a/common/settings.cc
+++ b/common/settings.cc
@@ -121,7 +121,7 @@
 
 std::string SettingsTable::choice(const std::string& key, const std::vector<std::string>& choices) {
   const toml::node* node = impl_->use(key);
-  const std::string value = impl_->stringOf(node, key, choices.front());
+  std::string value = impl_->stringOf(node, key, choices.front());
   if (std::find(choices.begin(), choices.end(), value) != choices.end()) {
     return value;
   }
--- a/core/configuration.cc
+++ b/core/configuration.cc
@@ -65,6 +65,7 @@
            std::tie(left->kind, left->rank, right->name);
   });
   std::vector<std::string> names;
+  names.reserve(ordered.size());
   for (const WorkType* type : ordered) {
     names.push_back(type->name);
   }
--- a/core/control_core.cc
+++ b/core/control_core.cc
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-ControlCore::ControlCore(ControlOptions options, RaftRecovery recovery, TimePoint now)
+ControlCore::ControlCore(ControlOptions options, const RaftRecovery& recovery, TimePoint now)
     : options_(std::move(options)), raft_(options_.raft, recovery, now) {
   if (recovery.snapshot.index > 0) {
     installSnapshot(recovery.snapshot);
--- a/core/control_core.h
+++ b/core/control_core.h
@@ -64,7 +64,7 @@
 
 class ControlCore {
  public:
-  ControlCore(ControlOptions options, RaftRecovery recovery, TimePoint now);
+  ControlCore(ControlOptions options, const RaftRecovery& recovery, TimePoint now);
 
   void onRequest(ControlToken token, const ControlRequest& request, TimePoint now);
   /// The requester of a held poll closed its connection.
--- a/core/control_state.h
+++ b/core/control_state.h
@@ -182,7 +182,7 @@
 constexpr std::int64_t kClaimWindowMs = 24LL * 3600 * 1000;
 /// A claim still held after this (the longest deadline and a margin) has an unknown outcome.
 constexpr std::int64_t kClaimHeldMs = 90LL * 1000;
-constexpr std::size_t kMaximumKeptAnswerBytes = 16 * 1024;
+constexpr std::size_t kMaximumKeptAnswerBytes = 16384;
 constexpr std::size_t kRememberedResults = 2048;
 constexpr std::size_t kRememberedPlans = 512;
 constexpr std::size_t kRememberedAbandoned = 8192;
--- a/core/inbound_calls.cc
+++ b/core/inbound_calls.cc
@@ -81,7 +81,7 @@
 }
 
 void InboundCalls::pump(TimePoint now, DaemonActions& actions) {
-  while (in_flight_ < limiter_->limit()) {
+  while (in_flight_.size() < limiter_->limit()) {
     const auto next = queue_.popBest();
     if (!next) {
       return;
@@ -99,7 +99,7 @@
 }
 
 void InboundCalls::start(Call& call, TimePoint now, DaemonActions& actions) {
-  in_flight_ += 1;
+  in_flight_.insert(call.request.id);
   cut_.onDispatched();
   if (!needsClaim(call)) {
     dispatch(call, now, actions);
@@ -164,7 +164,7 @@
     return;
   }
   counters_.claims_denied += 1;
-  in_flight_ -= 1;
+  in_flight_.erase(id);
   CallAnswer answer = errorCallAnswer(id, reply.error);
   if (reply.error == ErrorKind::kNone) {
     answer.outcome = Outcome::kRan;
@@ -188,7 +188,7 @@
   }
   Call& call = position->second;
   const Duration own = now - call.dispatched - call.scope->blocked(now);
-  limiter_->onSample({now, own, static_cast<std::uint32_t>(in_flight_), backend_answer.refused});
+  limiter_->onSample({now, own, static_cast<std::uint32_t>(in_flight_.size()), backend_answer.refused});
   CallAnswer answer;
   answer.id = id;
   if (backend_answer.refused) {
@@ -207,7 +207,7 @@
     answer.body_checksum = bodyChecksum(answer.body);
   }
   complete(call, answer, now);
-  in_flight_ -= 1;
+  in_flight_.erase(id);
   counters_.answered += 1;
   finish(position, std::move(answer), now, actions);
   pump(now, actions);
@@ -222,7 +222,7 @@
   const ErrorKind kind = never_sent ? ErrorKind::kBackendUnreachable : ErrorKind::kBackendLost;
   CallAnswer answer = errorCallAnswer(id, kind);
   complete(position->second, answer, now);
-  in_flight_ -= 1;
+  in_flight_.erase(id);
   finish(position, std::move(answer), now, actions);
   pump(now, actions);
 }
@@ -256,7 +256,7 @@
   answer.receiver_incarnation = options_.incarnation;
   answer.chain_cut = std::min(answer.chain_cut, cut_.cut());
   answer.draining = draining_;
-  const std::size_t held = in_flight_ + queue_.size();
+  const std::size_t held = in_flight_.size() + queue_.size();
   answer.load_permille =
       static_cast<std::uint32_t>(held * 1000 / std::max<std::size_t>(1, limiter_->limit()));
 }
@@ -308,7 +308,7 @@
   if (call.state == State::kQueued) {
     queue_.remove(id);
   } else {
-    in_flight_ -= 1;
+    in_flight_.erase(id);
   }
   if (call.state == State::kClaiming) {
     claimAction(CommandType::kReleaseClaim, call, nullptr);
@@ -342,7 +342,8 @@
 void InboundCalls::expire(TimePoint now, DaemonActions& actions) {
   std::vector<CallId> claims_due;
   std::vector<CallId> calls_due;
-  for (const auto& [id, call] : calls_) {
+  for (const CallId& id : in_flight_) {
+    const Call& call = calls_.at(id);
     const bool claimed = needsClaim(call);
     const Duration grace = claimed ? kClaimedCallGrace : Duration(0);
     if (call.state == State::kClaiming && now >= call.claim_due) {
@@ -352,13 +353,11 @@
       calls_due.push_back(id);
     }
   }
-  std::sort(claims_due.begin(), claims_due.end());
-  std::sort(calls_due.begin(), calls_due.end());
   for (const CallId& id : claims_due) {
     const auto position = calls_.find(id);
     counters_.claims_timed_out += 1;
     claimAction(CommandType::kReleaseClaim, position->second, nullptr);
-    in_flight_ -= 1;
+    in_flight_.erase(id);
     CallAnswer answer = errorCallAnswer(id, ErrorKind::kNoQuorum);
     answer.retry_after = retryAfter();
     finish(position, std::move(answer), now, actions);
--- a/core/inbound_calls.h
+++ b/core/inbound_calls.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -87,7 +88,7 @@
   std::vector<ClaimAction> takeClaimActions() { return std::exchange(claim_actions_, {}); }
 
   [[nodiscard]] const InboundCounters& counters() const { return counters_; }
-  [[nodiscard]] std::size_t inFlight() const { return in_flight_; }
+  [[nodiscard]] std::size_t inFlight() const { return in_flight_.size(); }
   [[nodiscard]] std::size_t queued() const { return queue_.size(); }
   [[nodiscard]] std::uint32_t concurrencyLimit() const { return limiter_->limit(); }
   [[nodiscard]] Level cut() const { return cut_.cut(); }
@@ -131,7 +132,7 @@
   std::unordered_map<std::string, CallId> handles_;
   std::vector<std::uint64_t> orphans_;
   std::vector<ClaimAction> claim_actions_;
-  std::size_t in_flight_ = 0;
+  std::set<CallId> in_flight_;  ///< Calls that hold a slot: claiming or dispatched.
   double service_time_us_ = 0;
   bool draining_ = false;
   TimePoint next_expiry_{0};
--- a/core/planning.cc
+++ b/core/planning.cc
@@ -242,7 +242,7 @@
                                           Configuration& configuration) {
   Configuration next = configuration;
   for (const ConfigurationChange& change : changes) {
-    const auto error = applyChange(change, next);
+    auto error = applyChange(change, next);
     if (error) {
       return error;
     }
--- a/daemon/daemon_process.cc
+++ b/daemon/daemon_process.cc
@@ -25,7 +25,7 @@
 constexpr auto kTickInterval = std::chrono::milliseconds(5);
 constexpr char kConfigurationFile[] = "configuration";
 // A peer adds its envelope to a body of the largest size.
-constexpr std::size_t kEnvelopeBytes = 64 * 1024;
+constexpr std::size_t kEnvelopeBytes = 65536;
 // After a planned stop's last answer the kernel still has to send it.
 constexpr auto kFlushPause = std::chrono::milliseconds(100);
 constexpr int kBackendShedStatus = 503;
--- a/lab/simulation/recorder.cc
+++ b/lab/simulation/recorder.cc
@@ -26,6 +26,7 @@
   const auto used = slot_us_.find(nonce);
   if (used != slot_us_.end()) {
     figures_.slot_us_useful += used->second;
+    bucket(kind, now).useful_us += used->second;
     slot_us_.erase(used);
   }
 }
--- a/lab/simulation/recorder.h
+++ b/lab/simulation/recorder.h
@@ -23,6 +23,7 @@
   std::uint64_t offered = 0;
   std::uint64_t completed = 0;
   std::uint64_t refused = 0;
+  double useful_us = 0;  ///< Slot time of the requests completed here.
 };
 
 /// Figures of a run.
--- a/lab/simulation/simulated_control.cc
+++ b/lab/simulation/simulated_control.cc
@@ -11,7 +11,7 @@
 }  // namespace
 
 SimulatedControl::SimulatedControl(World& world, Directory& directory, std::string name,
-                                   std::string zone, SimulatedControlOptions options)
+                                   const std::string& zone, SimulatedControlOptions options)
     : world_(world),
       directory_(directory),
       name_(std::move(name)),
@@ -161,7 +161,7 @@
 }
 
 void SimulatedControl::ask(NodeNumber requester, const ControlRequest& request, Duration timeout,
-                           Reply reply) {
+                           const Reply& reply) {
   const auto ended = std::make_shared<bool>(false);
   const auto finish = [ended, reply](const std::optional<ControlReply>& result) {
     if (!std::exchange(*ended, true)) {
--- a/lab/simulation/simulated_control.h
+++ b/lab/simulation/simulated_control.h
@@ -25,7 +25,7 @@
  public:
   using Reply = std::function<void(const std::optional<ControlReply>&)>;
 
-  SimulatedControl(World& world, Directory& directory, std::string name, std::string zone,
+  SimulatedControl(World& world, Directory& directory, std::string name, const std::string& zone,
                    SimulatedControlOptions options);
 
   /// False if the storage refuses to start; see startError().
@@ -36,7 +36,8 @@
   void failStorageAfter(std::uint64_t count) { files_.failAfter(count); }
 
   /// Sends a request from `requester`; `reply` runs there, with nothing after `timeout`.
-  void ask(NodeNumber requester, const ControlRequest& request, Duration timeout, Reply reply);
+  void ask(NodeNumber requester, const ControlRequest& request, Duration timeout,
+           const Reply& reply);
   void onPlatformList(const std::vector<ServerInfo>& servers);
 
   [[nodiscard]] const std::string& name() const { return name_; }
--- a/lab/simulation/simulated_operator.cc
+++ b/lab/simulation/simulated_operator.cc
@@ -27,7 +27,7 @@
   directory_.controls.at(address)->ask(node_, request, kAskTimeout, done);
 }
 
-void SimulatedOperator::askFrom(std::size_t next, std::string target, const ControlRequest& request,
+void SimulatedOperator::askFrom(std::size_t next, const std::string& target, const ControlRequest& request,
                                 std::uint32_t attempts, const Done& done) {
   directory_.controls.at(target)->ask(
       node_, request, kAskTimeout,
--- a/lab/simulation/simulated_operator.h
+++ b/lab/simulation/simulated_operator.h
@@ -26,7 +26,7 @@
   void askMember(const std::string& address, const ControlRequest& request, const Done& done);
 
  private:
-  void askFrom(std::size_t next, std::string target, const ControlRequest& request,
+  void askFrom(std::size_t next, const std::string& target, const ControlRequest& request,
                std::uint32_t attempts, const Done& done);
   void plan(const std::vector<ConfigurationChange>& changes, ConfigurationVersion base,
             const Done& done);
--- a/net/admin_pages.cc
+++ b/net/admin_pages.cc
@@ -6,7 +6,7 @@
     : title_(std::move(title)), collect_(std::move(collect)) {
   HttpServerOptions options;
   options.listen = listen;
-  constexpr std::size_t kMaximumAdminRequest = 16 * 1024;
+  constexpr std::size_t kMaximumAdminRequest = 16384;
   options.maximum_request_bytes = kMaximumAdminRequest;
   server_ = std::make_unique<HttpServer>(
       options, [this](HttpToken token, const HttpRequest& request) { answer(token, request); },
--- a/net/control_protocol.cc
+++ b/net/control_protocol.cc
@@ -51,7 +51,7 @@
   std::size_t next = 0;
   std::string target = addresses_.empty() ? "" : addresses_.front();
   while (!target.empty()) {
-    const auto reply = askMember(target, request);
+    auto reply = askMember(target, request);
     if (reply && reply->error != ErrorKind::kNotLeader) {
       return reply;
     }
