Control group survives a cold start of the whole fleet at once

Cause: at 9,400 hollow daemons with 1,300 work types only 104 of 9,400 attached within 60 s. Every daemon asked at once; thousands of polls in one round of the loop held up heartbeats until the leader lost its lease, answers came after the 0.7 s that daemons wait, and the repeats fed it: a metastable failure of the control plane itself (authoritative 0 on all members, 1.8 GB of answers). Ruled out: encoding the whole configuration per daemon alone (made once now: still 116 of 9,400). Change: polls wait in a queue of their own, taken 32 at a time between rounds of Raft; a daemon that gave up leaves it; beyond 4,096 polls are refused at once; daemons double their patience and their pause after failures; deltas of more than 100 changes are handed out as the whole configuration (1,300 changes cost each daemon 9 ms in a quadratic merge).

--- a/control/control_process.cc
+++ b/control/control_process.cc
@@ -33,6 +33,11 @@
 // Messages that wait for a member that does not answer; Raft repeats what is dropped.
 constexpr std::size_t kMaximumQueuedMessages = 256;
 constexpr int kServerThreads = 2;
+// Polls are taken a few at a time between rounds of Raft, so that a start of the whole fleet at
+// once cannot hold up heartbeats until the leader loses its lease.
+constexpr std::size_t kPollsPerRound = 32;
+// Beyond this a poll is refused at once: its daemon would have given up before its turn.
+constexpr std::size_t kMaximumWaitingPolls = 4096;
 
 }  // namespace
 
@@ -52,6 +57,10 @@
 
  private:
   using Event = std::function<void(TimePoint)>;
+  struct WaitingPoll {
+    HttpToken token = 0;
+    ControlRequest request;
+  };
   /// Raft messages for one member: one POST at a time, the rest waits and goes together.
   struct MemberLink {
     RaftBatch waiting;
@@ -60,6 +69,10 @@
 
   void startServers();
   void post(Event event);
+  void postPoll(HttpToken token, ControlRequest request);
+  void dropPoll(HttpToken token);
+  std::vector<WaitingPoll> takePolls();
+  void respond(HttpToken token, const ControlReply& reply);
   void run();
   void work(TimePoint now);
   void carryOut(const ControlWork& work);
@@ -70,6 +83,10 @@
   void sendMemberRequest(const MemberRequest& request);
   void reportChanges();
   MetricsPage metrics();
+  std::uint64_t refusedPolls() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return refused_polls_;
+  }
 
   ControlSettings settings_;
   PosixFileSystem files_;
@@ -80,9 +97,11 @@
   TimePoint next_platform_{0};
   std::string reported_state_;
 
-  std::mutex mutex_;  ///< Guards `events_`.
+  std::mutex mutex_;  ///< Guards `events_`, `polls_` and `refused_polls_`.
   std::condition_variable wake_;
   std::vector<Event> events_;
+  std::map<HttpToken, ControlRequest> polls_;  ///< Waiting, in the order of their arrival.
+  std::uint64_t refused_polls_ = 0;
   std::atomic<bool> stopping_{false};
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<AdminPages> admin_;
@@ -128,6 +147,7 @@
   server_ = std::make_unique<HttpServer>(
       options, [this](HttpToken token, const HttpRequest& request) { onHttp(token, request); },
       [this](HttpToken token) {
+        dropPoll(token);
         post([this, token](TimePoint) { core_->onRequesterGone(token); });
       });
   admin_ = std::make_unique<AdminPages>(settings_.admin, "ramppond-control " + settings_.name,
@@ -156,19 +176,63 @@
   wake_.notify_one();
 }
 
+void ControlProcess::Impl::postPoll(HttpToken token, ControlRequest request) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (polls_.size() < kMaximumWaitingPolls) {
+      polls_.emplace(token, std::move(request));
+      wake_.notify_one();
+      return;
+    }
+    refused_polls_ += 1;
+  }
+  ControlReply reply;
+  reply.error = ErrorKind::kOverloaded;
+  respond(token, reply);
+}
+
+// The daemon has given up: nobody would read the answer.
+void ControlProcess::Impl::dropPoll(HttpToken token) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  polls_.erase(token);
+}
+
+std::vector<ControlProcess::Impl::WaitingPoll> ControlProcess::Impl::takePolls() {
+  std::vector<WaitingPoll> taken;
+  while (taken.size() < kPollsPerRound && !polls_.empty()) {
+    const auto first = polls_.begin();
+    taken.push_back({first->first, std::move(first->second)});
+    polls_.erase(first);
+  }
+  return taken;
+}
+
+void ControlProcess::Impl::respond(HttpToken token, const ControlReply& reply) {
+  HttpResponse response;
+  response.content_type = kCborType;
+  response.body = encode(reply);
+  server_->respond(token, std::move(response));
+}
+
 void ControlProcess::Impl::run() {
   while (!stopping_) {
     std::vector<Event> events;
+    std::vector<WaitingPoll> polls;
     {
       std::unique_lock<std::mutex> lock(mutex_);
-      wake_.wait_for(lock, kTickInterval, [this] { return !events_.empty() || stopping_; });
+      wake_.wait_for(lock, kTickInterval,
+                     [this] { return !events_.empty() || !polls_.empty() || stopping_; });
       events.swap(events_);
+      polls = takePolls();
     }
     const std::lock_guard<std::mutex> lock(core_mutex_);
     const TimePoint now = monotonicNow();
     for (const Event& event : events) {
       event(now);
     }
+    for (const WaitingPoll& poll : polls) {
+      core_->onRequest(poll.token, poll.request, now);
+    }
     work(now);
   }
 }
@@ -202,10 +266,7 @@
     queueRaft(message);
   }
   for (const ControlAnswer& answer : work.answers) {
-    HttpResponse response;
-    response.content_type = kCborType;
-    response.body = encode(answer.reply);
-    server_->respond(answer.token, std::move(response));
+    respond(answer.token, answer.reply);
   }
   for (const MemberRequest& request : work.member_requests) {
     sendMemberRequest(request);
@@ -295,6 +356,10 @@
     server_->respond(token, std::move(response));
     return;
   }
+  if (control->type == ControlRequestType::kPoll) {
+    postPoll(token, *control);
+    return;
+  }
   post([this, token, control](TimePoint now) { core_->onRequest(token, *control, now); });
 }
 
@@ -350,6 +415,8 @@
              static_cast<double>(storage_.snapshotBytes()));
   page.counter("control_log_syncs_total", "Syncs of the log.", storage_.syncs());
   page.counter("control_polls_total", "Polls of daemons.", counters.polls);
+  page.counter("control_polls_refused_total", "Polls refused because too many waited.",
+               refusedPolls());
   page.counter("control_pushes_total", "Configurations handed out.", counters.configuration_pushes);
   page.counter("control_commands_total", "Commands proposed.", counters.commands);
   page.counter("control_claims_total", "Claims, completions and releases.", counters.claims);
--- a/core/control_core.cc
+++ b/core/control_core.cc
@@ -1,6 +1,7 @@
 #include "core/control_core.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "core/cbor_codec.h"
 
@@ -13,6 +14,8 @@
 constexpr std::size_t kMaximumHeardAddresses = 64;
 // A daemon that is further behind than this gets the whole configuration.
 constexpr std::size_t kRememberedDeltas = 64;
+// Many changes at once are cheaper to hand out, and to apply, as the whole.
+constexpr std::size_t kMaximumDeltaChanges = 100;
 
 }  // namespace
 
@@ -182,15 +185,17 @@
   }
   reply.authoritative = ready;
   reply.quorum_confirmed = ready;
-  reply.has_configuration = true;
-  reply.configuration = state_.configuration();
-  if (request.type == ControlRequestType::kListPlans) {
-    reply.plans.assign(state_.plans().begin(), state_.plans().end());
-  }
   if (request.type == ControlRequestType::kPoll) {
     HeldPoll poll;
     poll.request = request.poll;
     hasNews(poll, reply);
+    answer(token, std::move(reply));
+    return;
+  }
+  reply.has_configuration = true;
+  reply.configuration = state_.configuration();
+  if (request.type == ControlRequestType::kListPlans) {
+    reply.plans.assign(state_.plans().begin(), state_.plans().end());
   }
   answer(token, std::move(reply));
 }
@@ -222,10 +227,7 @@
 bool ControlCore::hasNews(const HeldPoll& poll, ControlReply& reply) {
   const PollRequest& request = poll.request;
   bool news = false;
-  if (request.quorum_read && state_.configuration().group_id != 0) {
-    reply.has_configuration = true;
-    reply.configuration = state_.configuration();
-  } else if (request.have < state_.configuration().version) {
+  if (request.have < state_.configuration().version) {
     addConfiguration(request.have, reply);
     news = true;
   }
@@ -243,16 +245,26 @@
   return news;
 }
 
-void ControlCore::addConfiguration(ConfigurationVersion have, ControlReply& reply) const {
+const std::string& ControlCore::encodedConfiguration() {
+  if (encoded_configuration_.empty() || encoded_version_ != state_.configuration().version) {
+    encoded_version_ = state_.configuration().version;
+    encoded_configuration_ = encode(state_.configuration());
+  }
+  return encoded_configuration_;
+}
+
+void ControlCore::addConfiguration(ConfigurationVersion have, ControlReply& reply) {
   const auto first =
       std::find_if(deltas_.begin(), deltas_.end(),
                    [&](const ConfigurationDelta& delta) { return delta.base == have; });
-  if (first != deltas_.end()) {
+  const std::size_t changes = std::accumulate(
+      first, deltas_.end(), std::size_t{0},
+      [](std::size_t sum, const ConfigurationDelta& delta) { return sum + delta.changes.size(); });
+  if (first != deltas_.end() && changes <= kMaximumDeltaChanges) {
     reply.deltas.assign(first, deltas_.end());
     return;
   }
-  reply.has_configuration = true;
-  reply.configuration = state_.configuration();
+  reply.whole_configuration = encodedConfiguration();
 }
 
 void ControlCore::rememberDelta(const Command& command, ConfigurationVersion before) {
@@ -269,7 +281,7 @@
 
 void ControlCore::answerPoll(ControlToken token, ControlReply reply, TimePoint now) {
   reply.authoritative = authoritative(now);
-  const bool hands_out = reply.has_configuration || !reply.deltas.empty();
+  const bool hands_out = !reply.whole_configuration.empty() || !reply.deltas.empty();
   counters_.configuration_pushes += hands_out ? 1 : 0;
   answer(token, std::move(reply));
 }
--- a/core/control_core.h
+++ b/core/control_core.h
@@ -118,7 +118,8 @@
   void applyEntry(const LogEntry& entry);
   void installSnapshot(const Snapshot& snapshot);
   void rememberDelta(const Command& command, ConfigurationVersion before);
-  void addConfiguration(ConfigurationVersion have, ControlReply& reply) const;
+  void addConfiguration(ConfigurationVersion have, ControlReply& reply);
+  const std::string& encodedConfiguration();
   void failPendingIfNotLeader();
   void pullSessions(TimePoint now);
   void answer(ControlToken token, ControlReply reply);
@@ -143,6 +144,8 @@
   std::vector<ControlAnswer> answers_;
   std::vector<MemberRequest> member_requests_;
   bool configuration_changed_ = false;
+  std::string encoded_configuration_;  ///< Of `encoded_version_`.
+  ConfigurationVersion encoded_version_;
   std::deque<ConfigurationDelta> deltas_;  ///< The last steps, each on the one before.
   bool was_leader_ = false;
   TimePoint last_contact_{0};
--- a/core/control_messages.h
+++ b/core/control_messages.h
@@ -175,7 +175,9 @@
   bool has_configuration = false;
   bool quorum_confirmed = false;
   Configuration configuration;
-  std::vector<ConfigurationDelta> deltas;  ///< In place of `configuration`, oldest first.
+  /// For daemons: an encoded Configuration, made once for all of them; empty if there is no news.
+  std::string whole_configuration;
+  std::vector<ConfigurationDelta> deltas;  ///< In place of the whole, oldest first.
   std::vector<ServiceServers> services;    ///< Those that differ from what the daemon has.
   CommandResult result;
   std::vector<Plan> plans;
@@ -203,6 +205,7 @@
     visitor(12, sessions);
     visitor(13, sessions_counter);
     visitor(14, deltas);
+    visitor(15, whole_configuration);
   }
 };
 
--- a/core/control_session.cc
+++ b/core/control_session.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/cbor_codec.h"
 #include "core/planning.h"
 
 namespace ramppond {
@@ -16,6 +17,7 @@
 constexpr std::size_t kMaximumSuperseded = 8;
 constexpr Duration kShortestPollBackoff = milliseconds(50);
 constexpr std::uint64_t kPollBackoffSpreadUs = 200000;
+constexpr std::uint32_t kMaximumBackoffDoublings = 4;
 
 }  // namespace
 
@@ -48,6 +50,12 @@
   }
 }
 
+// Doubles with every failed poll, so that members which cannot keep up get slower questions and
+// longer to answer each: a start of the whole fleet at once must not feed on its own retries.
+std::int64_t ControlSession::backoff() const {
+  return std::int64_t{1} << std::min<std::uint32_t>(failures_, kMaximumBackoffDoublings);
+}
+
 const std::string& ControlSession::upstreamAddress() const {
   return options_.control_addresses.at(upstream_ % options_.control_addresses.size());
 }
@@ -79,7 +87,7 @@
   SendToControl send;
   send.address = !confirmed_ && !leader_address_.empty() ? leader_address_ : upstreamAddress();
   send.request_id = next_request_id_++;
-  send.timeout = hold + options_.answer_margin;
+  send.timeout = hold + options_.answer_margin * backoff();
   send.request.type = ControlRequestType::kPoll;
   PollRequest& poll = send.request.poll;
   poll.session.server = options_.server;
@@ -146,10 +154,12 @@
                                  DaemonActions& actions) {
   if (!reply || reply->error != ErrorKind::kNone) {
     counters_.poll_failures += 1;
+    failures_ += 1;
     leader_address_ = reply ? reply->leader_address : std::string();
     nextUpstream(now);
     return;
   }
+  failures_ = 0;
   takeNews(*reply, actions);
   if (!reply->authoritative) {
     // A member without a leader may be cut off, and what it says may be old.
@@ -178,13 +188,16 @@
     configuration_changed_ = true;
     actions.emplace_back(SaveConfiguration{holder_.current()});
   }
-  if (reply.has_configuration) {
+  const auto whole = reply.whole_configuration.empty()
+                         ? std::nullopt
+                         : decode<Configuration>(reply.whole_configuration);
+  if (whole) {
     whole_wanted_ = false;
-    if (holder_.offer(reply.configuration)) {
+    if (holder_.offer(*whole)) {
       counters_.configurations_taken += 1;
       configuration_changed_ = true;
       actions.emplace_back(SaveConfiguration{holder_.current()});
-    } else if (reply.configuration.version < holder_.current().version) {
+    } else if (whole->version < holder_.current().version) {
       counters_.configurations_refused += 1;
     }
   }
@@ -213,7 +226,8 @@
 void ControlSession::nextUpstream(TimePoint now) {
   counters_.upstream_changes += 1;
   upstream_ += 1;
-  const auto jitter = Duration(static_cast<std::int64_t>(random_.below(kPollBackoffSpreadUs)));
+  const std::uint64_t spread = kPollBackoffSpreadUs * static_cast<std::uint64_t>(backoff());
+  const auto jitter = Duration(static_cast<std::int64_t>(random_.below(spread)));
   next_poll_ = now + kShortestPollBackoff + jitter;
 }
 
--- a/core/control_session.h
+++ b/core/control_session.h
@@ -94,6 +94,7 @@
   [[nodiscard]] const std::string& upstreamAddress() const;
   void takeNews(const ControlReply& reply, DaemonActions& actions);
   void takeConfiguration(const ControlReply& reply, DaemonActions& actions);
+  [[nodiscard]] std::int64_t backoff() const;
   bool offerDeltas(const std::vector<ConfigurationDelta>& deltas);
 
   ControlSessionOptions options_;
@@ -114,6 +115,7 @@
   std::uint64_t poll_id_ = 0;
   std::set<std::uint64_t> superseded_;  ///< Polls that a later one has replaced.
   TimePoint next_poll_{0};
+  std::uint32_t failures_ = 0;  ///< Polls without an answer in a row.
 
   std::deque<QueuedClaim> claims_;
   std::map<std::uint64_t, Batch> batches_;
--- a/core/inbound_calls.cc
+++ b/core/inbound_calls.cc
@@ -188,7 +188,8 @@
   }
   Call& call = position->second;
   const Duration own = now - call.dispatched - call.scope->blocked(now);
-  limiter_->onSample({now, own, static_cast<std::uint32_t>(in_flight_.size()), backend_answer.refused});
+  limiter_->onSample(
+      {now, own, static_cast<std::uint32_t>(in_flight_.size()), backend_answer.refused});
   CallAnswer answer;
   answer.id = id;
   if (backend_answer.refused) {
--- a/lab/experiment.h
+++ b/lab/experiment.h
@@ -47,9 +47,9 @@
   double goodput = 0;
   std::array<double, kWorkKinds> completed_share{};  ///< Of those offered during the trigger.
   std::array<double, kWorkKinds> refused_share{};
-  double calm_share = 0;                  ///< Completed of those offered before the trigger.
+  double calm_share = 0;                   ///< Completed of those offered before the trigger.
   std::optional<double> recovery_seconds;  ///< Nothing if it did not recover within the run.
-  double wasted_share = 0;                ///< Of all slot time, for requests that then failed.
+  double wasted_share = 0;                 ///< Of all slot time, for requests that then failed.
   double retries_per_request = 0;
   std::uint64_t most_retries = 0;
   double lookup_p50_ms = 0;
@@ -58,7 +58,7 @@
   double commit_p99_ms = 0;
   /// Completed share of the class with the highest weight over that of the lowest, in the trigger.
   double class_ratio = 0;
-  std::vector<double> goodput_series;     ///< Completed over offered, a value per 100 ms.
+  std::vector<double> goodput_series;  ///< Completed over offered, a value per 100 ms.
 };
 
 /// The most slot time of completed requests per second that a deployment reaches in steady load,
--- a/lab/experiment_report.cc
+++ b/lab/experiment_report.cc
@@ -179,7 +179,8 @@
   std::error_code ignored;
   std::filesystem::create_directories(folder, ignored);
   const std::vector<Cell> cells = cellsOf(results);
-  return writeRuns(results, folder + "/runs.csv") && writeSummary(cells, folder + "/summary.json") &&
+  return writeRuns(results, folder + "/runs.csv") &&
+         writeSummary(cells, folder + "/summary.json") &&
          writeSeries(cells, folder + "/series.csv") && writePlots(spec, cells, folder + "/plot.gp");
 }
 
