--- a/core/control_core.cc
+++ b/core/control_core.cc
@@ -260,7 +260,8 @@
   const std::size_t changes = std::accumulate(
       first, deltas_.end(), std::size_t{0},
       [](std::size_t sum, const ConfigurationDelta& delta) { return sum + delta.changes.size(); });
-  if (first != deltas_.end() && changes <= kMaximumDeltaChanges) {
+  const bool holds_something = have != ConfigurationVersion{};
+  if (holds_something && first != deltas_.end() && changes <= kMaximumDeltaChanges) {
     reply.deltas.assign(first, deltas_.end());
     return;
   }
