--- a/lab/simulation/scenarios.cc
+++ b/lab/simulation/scenarios.cc
@@ -110,8 +110,14 @@
 }
 
 Violations checkEverywhere(Simulation& simulation) {
-  return checkConfiguration(simulation.world().recorder.history(), simulation.serverNames(),
-                            kInForceWithin);
+  std::vector<RegisterOperation> operations = simulation.firstOperator().operations();
+  const auto& others = simulation.secondOperator().operations();
+  operations.insert(operations.end(), others.begin(), others.end());
+  Violations violations = checkLinearizable(operations);
+  const Violations late = checkConfiguration(simulation.world().recorder.history(),
+                                             simulation.serverNames(), kInForceWithin);
+  violations.insert(violations.end(), late.begin(), late.end());
+  return violations;
 }
 
 Violations violationIf(bool broken, const std::string& promise, Simulation& simulation,
--- a/lab/simulation/simulated_operator.cc
+++ b/lab/simulation/simulated_operator.cc
@@ -27,8 +27,9 @@
   directory_.controls.at(address)->ask(node_, request, kAskTimeout, done);
 }
 
-void SimulatedOperator::askFrom(std::size_t next, const std::string& target, const ControlRequest& request,
-                                std::uint32_t attempts, const Done& done) {
+void SimulatedOperator::askFrom(std::size_t next, const std::string& target,
+                                const ControlRequest& request, std::uint32_t attempts,
+                                const Done& done) {
   directory_.controls.at(target)->ask(
       node_, request, kAskTimeout,
       [this, next, target, request, attempts, done](const std::optional<ControlReply>& reply) {
@@ -53,8 +54,10 @@
 void SimulatedOperator::change(const std::vector<ConfigurationChange>& changes, const Done& done) {
   ControlRequest read;
   read.type = ControlRequestType::kReadConfiguration;
-  ask(read, [this, changes, done](const std::optional<ControlReply>& reply) {
+  const TimePoint invoked = world_.now();
+  ask(read, [this, changes, done, invoked](const std::optional<ControlReply>& reply) {
     if (reply) {
+      recordOperation(RegisterOperationType::kRead, invoked, {}, reply->configuration.version);
       plan(changes, reply->configuration.version, done);
     } else if (done) {
       done(reply);
@@ -62,6 +65,11 @@
   });
 }
 
+void SimulatedOperator::recordOperation(RegisterOperationType type, TimePoint invoked,
+                                        ConfigurationVersion base, ConfigurationVersion version) {
+  operations_.push_back({type, name_, invoked, world_.now(), base, version});
+}
+
 void SimulatedOperator::plan(const std::vector<ConfigurationChange>& changes,
                              ConfigurationVersion base, const Done& done) {
   ControlRequest request;
@@ -86,8 +94,10 @@
   request.command.type = CommandType::kConfirm;
   request.command.operator_request_id = requestId();
   request.command.plan_id = plan_id;
-  ask(request, [this, base, done](const std::optional<ControlReply>& reply) {
+  const TimePoint invoked = world_.now();
+  ask(request, [this, base, done, invoked](const std::optional<ControlReply>& reply) {
     if (reply && reply->result.error == ErrorKind::kNone) {
+      recordOperation(RegisterOperationType::kConfirm, invoked, base, reply->result.version);
       HistoryEvent event = world_.event(HistoryEventType::kPlanConfirmed, name_);
       event.number = reply->result.version.index;
       event.detail = base.toString();
--- a/lab/simulation/simulated_operator.h
+++ b/lab/simulation/simulated_operator.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "lab/register_checker.h"
 #include "lab/simulation/simulated_control.h"
 #include "lab/simulation/world.h"
 
@@ -22,6 +23,8 @@
   void change(const std::vector<ConfigurationChange>& changes, const Done& done = {});
   /// Sends one request until a member serves it.
   void ask(const ControlRequest& request, const Done& done);
+  /// Reads and confirms that were answered.
+  [[nodiscard]] const std::vector<RegisterOperation>& operations() const { return operations_; }
   /// Asks only the member at `address`.
   void askMember(const std::string& address, const ControlRequest& request, const Done& done);
 
@@ -31,6 +34,8 @@
   void plan(const std::vector<ConfigurationChange>& changes, ConfigurationVersion base,
             const Done& done);
   void confirm(std::uint64_t plan_id, ConfigurationVersion base, const Done& done);
+  void recordOperation(RegisterOperationType type, TimePoint invoked, ConfigurationVersion base,
+                       ConfigurationVersion version);
   std::string requestId() { return name_ + "-" + std::to_string(next_request_++); }
 
   World& world_;
@@ -39,6 +44,7 @@
   std::vector<std::string> addresses_;
   NodeNumber node_;
   std::uint64_t next_request_ = 1;
+  std::vector<RegisterOperation> operations_;
 };
 
 }  // namespace ramppond
