A lost poll in service is asked again at once

Ruled out: deltas that do not apply (the daemon caught up with the next answer). Change: after a failure the next poll does not hold; in service patience is doubled twice at most.

--- a/core/control_session.cc
+++ b/core/control_session.cc
@@ -18,6 +18,8 @@
 constexpr Duration kShortestPollBackoff = milliseconds(50);
 constexpr std::uint64_t kPollBackoffSpreadUs = 200000;
 constexpr std::uint32_t kMaximumBackoffDoublings = 4;
+// A daemon in service must not wait long on one lost poll: versions have 14 s to arrive.
+constexpr std::uint32_t kMaximumConfirmedDoublings = 2;
 
 }  // namespace
 
@@ -53,7 +55,8 @@
 // Doubles with every failed poll, so that members which cannot keep up get slower questions and
 // longer to answer each: a start of the whole fleet at once must not feed on its own retries.
 std::int64_t ControlSession::backoff() const {
-  return std::int64_t{1} << std::min<std::uint32_t>(failures_, kMaximumBackoffDoublings);
+  const std::uint32_t most = confirmed_ ? kMaximumConfirmedDoublings : kMaximumBackoffDoublings;
+  return std::int64_t{1} << std::min(failures_, most);
 }
 
 const std::string& ControlSession::upstreamAddress() const {
@@ -70,7 +73,8 @@
   stale_ = stale_ || (!confirmed_ && now - first_tick_ >= options_.stale_after);
   if (poll_id_ == 0 && now >= next_poll_) {
     poll_id_ = next_request_id_;
-    const bool wait_for_news = confirmed_ && !session_dirty_;
+    // After a failure the first question is what was missed, not what comes next.
+    const bool wait_for_news = confirmed_ && !session_dirty_ && failures_ == 0;
     sendPoll(now, wait_for_news ? options_.hold : Duration(0), actions);
   } else if (session_dirty_ && poll_id_ != 0 && superseded_.size() < kMaximumSuperseded) {
     // The member holds a poll that does not say this yet: a new one takes its place.
