--- a/core/control_session.cc
+++ b/core/control_session.cc
@@ -99,7 +99,9 @@
   poll.session.draining = draining_;
   poll.session.started_ms = options_.started_ms;
   poll.zone = options_.zone;
-  poll.have = whole_wanted_ ? ConfigurationVersion{} : holder_.current().version;
+  // A member hands out nothing older than what a daemon says that it has.
+  const bool tell = !whole_wanted_ && options_.refuse_older_configuration;
+  poll.have = tell ? holder_.current().version : ConfigurationVersion{};
   poll.quorum_read = !confirmed_;
   poll.hold = hold;
   for (const auto& [service, digest] : interests_) {
--- a/lab/load_generator.cc
+++ b/lab/load_generator.cc
@@ -199,8 +199,14 @@
   event.key = request->key;
   event.work = row.work;
   event.kind = row.kind;
-  event.outcome = result.complete ? result.header(headers::kOutcome) : "unknown";
-  event.error = result.complete ? result.header(headers::kError) : "no_answer";
+  if (result.complete) {
+    event.outcome = result.header(headers::kOutcome);
+    event.error = result.header(headers::kError);
+  } else {
+    // A request of which no byte left was not in flight.
+    event.outcome = result.never_sent ? "not_run" : "unknown";
+    event.error = result.never_sent ? "not_reached" : "no_answer";
+  }
   event.detail = body ? body->nonce : (success ? "incomplete" : "");
   event.number = static_cast<std::uint64_t>(result.status);
   history_.record(event);
