Fleet runs wait until the last confirmed version is in force before they are judged

Cause: fleet.silence red in a clean clone: the load ended before the 14 s of a version confirmed near the end were over, and its checker counted a daemon that had not got it yet as late. Also found: the exits that faults reported as unclean were overwritten by those of the stop, and so never judged. Change: the run waits for the event, up to 14 s; unclean exits of faults are kept. Stricter than before.

--- a/lab/fleet_run.cc
+++ b/lab/fleet_run.cc
@@ -42,7 +42,9 @@
  private:
   void run() {
     std::map<std::string, double> seen;
-    while (!stopping_) {
+    bool last_pass = false;
+    while (!last_pass) {
+      last_pass = stopping_;  // What is in force when it is stopped is still noted.
       for (const std::string& server : fleet_.serverNames()) {
         const auto index = fleet_.metric("daemon " + server, "configuration_index");
         if (!index || *index == seen[server]) {
@@ -103,6 +105,7 @@
   FleetRunOptions options_;
   std::ostream& progress_;
   FleetRunResult result_;
+  double confirmed_index_ = 0;  ///< Of the last version that the operator confirmed.
 };
 
 std::unique_ptr<ChildProcess> FleetRun::startLoad() {
@@ -191,8 +194,11 @@
   const double requests = fleet_.daemonTotal("front_requests_total");
   result_.retries_per_request =
       requests > 0 ? fleet_.daemonTotal("outbound_retries_total") / requests : 0;
+  // A version confirmed near the end has its time to arrive, as any other.
+  Fleet::waitFor([this] { return inForceEverywhere(confirmed_index_); }, kInForceTimeout);
   monitor.stop();
-  result_.unclean_exits = fleet_.stop();
+  const auto unclean = fleet_.stop();
+  result_.unclean_exits.insert(result_.unclean_exits.end(), unclean.begin(), unclean.end());
   check();
   return result_;
 }
@@ -239,6 +245,7 @@
   event.who = "operator";
   event.detail = planned["base_version"];
   event.number = std::strtoull(version.c_str() + version.find('.') + 1, nullptr, 10);
+  confirmed_index_ = static_cast<double>(event.number);
   fleet_.record(event);
   return true;
 }
