--- /dev/null
+++ b/control/coordinator/coordinator_process.cc
@@ -0,0 +1,455 @@
+#include "control/coordinator/coordinator_process.h"
+
+#include <csignal>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "common/event_log.h"
+#include "core/cbor_codec.h"
+#include "core/first_members.h"
+#include "core/raft_messages.h"
+
+namespace ramppond {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kTemporaryRedirect = 307;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kPreconditionFailed = 412;
+constexpr int kUnavailable = 503;
+constexpr Duration kTickInterval = milliseconds(20);
+constexpr Duration kJoinInterval = milliseconds(200);
+constexpr Duration kJoinTimeout = milliseconds(600);
+constexpr Duration kMemberTimeout = milliseconds(800);
+constexpr Duration kSettingsCheckInterval = seconds(1);
+constexpr Duration kStopTime = milliseconds(300);
+// A sync takes milliseconds and may be many times slower: elections must not follow from that.
+constexpr Duration kElectionTimeout = milliseconds(500);
+constexpr Duration kHeartbeatInterval = milliseconds(100);
+constexpr Duration kRegistryPullInterval = milliseconds(150);
+// The log stays small against the disks of control machines.
+constexpr LogIndex kEntriesPerSnapshot = 400;
+constexpr std::uint32_t kMaximumHeaderBytes = 65536;
+constexpr std::size_t kMaximumDocumentBytes = 16U << 20U;
+// Tokens of operators' calls lie above those of frames.
+constexpr ControlToken kFirstOperatorToken = ControlToken{1} << 62U;
+
+std::uint64_t randomNumber() {
+  std::random_device device;
+  return ((std::uint64_t{device()} << 32U) | device()) | 1U;
+}
+
+std::string readFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::int64_t wallClockMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+HttpServerOptions operatorServerOptions() {
+  HttpServerOptions options;
+  options.max_header_bytes = kMaximumHeaderBytes;
+  return options;
+}
+
+/// Collects an operator's document, then hands it over.
+class DocumentHandler : public ExchangeHandler {
+ public:
+  explicit DocumentHandler(std::function<void(const std::string&)> whole)
+      : whole_(std::move(whole)) {}
+  void onRequestBody(std::string_view data) override {
+    if (body_.size() < kMaximumDocumentBytes) {
+      body_.append(data);
+    }
+  }
+  void onRequestEnd() override { whole_(body_); }
+  void onClientGone() override {}
+
+ private:
+  std::function<void(const std::string&)> whole_;
+  std::string body_;
+};
+
+void answerOperator(const std::shared_ptr<ServerExchange>& exchange, int status,
+                    std::string_view body) {
+  HttpHead head;
+  head.status = status;
+  head.fields.push_back({"Content-Type", "application/json"});
+  exchange->respond(std::move(head), body);
+}
+
+}  // namespace
+
+CoordinatorProcess::CoordinatorProcess(const ExternalApi& api, CoordinatorSettings settings,
+                                       std::string settings_path)
+    : api_(api),
+      settings_(std::move(settings)),
+      settings_path_(std::move(settings_path)),
+      settings_text_(readFile(settings_path_)),
+      files_(settings_.data_folder),
+      storage_(files_),
+      channels_(loop_),
+      frames_(
+          loop_, settings_.member_address,
+          [this](FrameToken token, const Frame& frame) { onFrame(token, frame); },
+          [this](FrameToken token) { core_->onRequesterGone(token); }),
+      operators_(
+          loop_, settings_.operator_address, operatorServerOptions(),
+          [this](const std::shared_ptr<ServerExchange>& exchange) { serveOperator(exchange); }),
+      signals_(loop_.context(), SIGTERM, SIGINT, SIGHUP),
+      tick_timer_(loop_),
+      stop_timer_(loop_),
+      next_operator_token_(kFirstOperatorToken) {}
+
+std::optional<std::string> CoordinatorProcess::openStorage() {
+  if (auto error = files_.prepare()) {
+    return error;
+  }
+  const NodeId fresh =
+      settings_.first_start ? firstIdentity(settings_.member_address.toString()) : randomNumber();
+  if (auto error = storage_.open(fresh)) {
+    return settings_.data_folder + "/" + *error;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> CoordinatorProcess::start() {
+  if (auto error = openStorage()) {
+    return error;
+  }
+  ControlOptions options;
+  options.name = settings_.name;
+  options.address = settings_.member_address.toString();
+  options.entries_per_snapshot = kEntriesPerSnapshot;
+  options.session_pull_interval = kRegistryPullInterval;
+  options.registry_epoch = randomNumber();
+  options.raft.id = storage_.id();
+  options.raft.election_timeout = kElectionTimeout;
+  options.raft.heartbeat_interval = kHeartbeatInterval;
+  options.raft.random_seed = randomNumber();
+  core_ = std::make_unique<ControlCore>(options, storage_.takeRecovery(), EventLoop::now());
+  bootstrapIfFirst();
+  if (auto error = frames_.start()) {
+    return error;
+  }
+  if (auto error = operators_.start()) {
+    return error;
+  }
+  waitForSignal();
+  tick();
+  logEvent(EventLoop::now().count(), "started",
+           {{"name", settings_.name}, {"id", std::to_string(storage_.id())}});
+  return std::nullopt;
+}
+
+void CoordinatorProcess::bootstrapIfFirst() {
+  if (!settings_.first_start) {
+    return;
+  }
+  std::vector<std::string> addresses;
+  for (const std::string& seed : settings_.seeds) {
+    const auto endpoint = parseEndpoint(seed);
+    if (endpoint) {
+      addresses.push_back(Endpoint{endpoint->host, settings_.member_address.port}.toString());
+    }
+  }
+  const Membership members = firstMembership(addresses);
+  if (core_->bootstrapGroup(firstGroupId(members), members, EventLoop::now())) {
+    logEvent(EventLoop::now().count(), "bootstrapped",
+             {{"members", std::to_string(members.members.size())}});
+  }
+}
+
+void CoordinatorProcess::serveOperator(const std::shared_ptr<ServerExchange>& exchange) {
+  const HttpHead& request = exchange->request();
+  const ExternalCall call = api_.classify(request.method, request.target);
+  if (call.type == ExternalCallType::kReadTraffic) {
+    const ControlToken token = next_operator_token_++;
+    operator_calls_[token] = exchange;
+    ControlRequest read;
+    read.type = ControlRequestType::kReadTraffic;
+    core_->onRequest(token, read, EventLoop::now());
+    scheduleWork();
+    return;
+  }
+  if (call.type != ExternalCallType::kReplaceTraffic) {
+    answerOperator(exchange, kNotFound, "{\"error\":\"no such call\"}");
+    return;
+  }
+  const std::string base = request.get(api_.headers().base_version);
+  const std::weak_ptr<ServerExchange> weak = exchange;
+  exchange->setHandler(
+      std::make_shared<DocumentHandler>([this, base, weak](const std::string& body) {
+        const auto alive = weak.lock();
+        if (alive != nullptr) {
+          onReplacement(base, body, alive);
+        }
+      }));
+}
+
+void CoordinatorProcess::onReplacement(const std::string& base_version, const std::string& body,
+                                       const std::shared_ptr<ServerExchange>& exchange) {
+  auto replacement = api_.parseReplacement(base_version, body);
+  if (replacement.value) {
+    replacement.error = validateTraffic(replacement.value->configuration).value_or("");
+  }
+  if (!replacement.value || !replacement.error.empty()) {
+    logEvent(EventLoop::now().count(), "configuration_refused", {{"reason", replacement.error}});
+    answerOperator(exchange, kBadRequest, "{\"error\":\"invalid\"}");
+    return;
+  }
+  const ControlToken token = next_operator_token_++;
+  operator_calls_[token] = exchange;
+  ControlRequest request;
+  request.type = ControlRequestType::kCommand;
+  request.command.type = CommandType::kReplaceTraffic;
+  request.command.traffic = encode(*replacement.value);
+  core_->onRequest(token, request, EventLoop::now());
+  scheduleWork();
+}
+
+void CoordinatorProcess::onOperatorReply(ControlToken token, const ControlReply& reply) {
+  const auto found = operator_calls_.find(token);
+  if (found == operator_calls_.end()) {
+    return;
+  }
+  const auto exchange = found->second;
+  operator_calls_.erase(found);
+  if (reply.error != ErrorKind::kNone) {
+    redirectOrRefuse(exchange, reply);
+    return;
+  }
+  switch (reply.result.error) {
+    case ErrorKind::kNone:
+      break;
+    case ErrorKind::kVersionConflict:
+      answerOperator(exchange, kPreconditionFailed, "{\"error\":\"another version is in force\"}");
+      return;
+    default:
+      answerOperator(exchange, kBadRequest, "{\"error\":\"invalid\"}");
+      return;
+  }
+  const bool read = equalNames(exchange->request().method, "GET");
+  if (read && reply.traffic_document.empty()) {
+    answerOperator(exchange, kUnavailable, "{\"error\":\"no configuration yet\"}");
+    return;
+  }
+  answerOperator(exchange, kOk, read ? reply.traffic_document : "{}");
+}
+
+// Sends the caller to the leader, if one is known; all members have the same operator port.
+void CoordinatorProcess::redirectOrRefuse(const std::shared_ptr<ServerExchange>& exchange,
+                                          const ControlReply& reply) {
+  const auto leader = parseEndpoint(reply.leader_address);
+  const bool known = leader && leader->host != settings_.member_address.host;
+  if (!known) {
+    answerOperator(exchange, kUnavailable, "{\"error\":\"no leader\"}");
+    return;
+  }
+  const Endpoint target = {leader->host, settings_.operator_address.port};
+  HttpHead head;
+  head.status = kTemporaryRedirect;
+  head.fields.push_back({"Location", "http://" + target.toString() + exchange->request().target});
+  exchange->respond(std::move(head), "");
+}
+
+void CoordinatorProcess::onFrame(FrameToken token, const Frame& frame) {
+  const TimePoint now = EventLoop::now();
+  if (frame.kind == FrameKind::kRaftMessages) {
+    const auto batch = decode<RaftBatch>(frame.body);
+    if (batch) {
+      for (const RaftMessage& message : batch->messages) {
+        core_->onRaftMessage(message, batch->sender_address, now);
+      }
+    }
+  } else if (frame.kind == FrameKind::kControlRequest) {
+    const auto request = decode<ControlRequest>(frame.body);
+    if (request) {
+      core_->onRequest(token, *request, now);
+    }
+  }
+  scheduleWork();
+}
+
+// Everything that arrives within one turn of the loop shares a sync.
+void CoordinatorProcess::scheduleWork() {
+  if (work_scheduled_) {
+    return;
+  }
+  work_scheduled_ = true;
+  loop_.post([this] {
+    work_scheduled_ = false;
+    work();
+  });
+}
+
+void CoordinatorProcess::work() {
+  const TimePoint now = EventLoop::now();
+  core_->tick(now, wallClockMs());
+  for (;;) {
+    const ControlWork work = core_->take(now);
+    if (work.empty()) {
+      break;
+    }
+    const bool durable =
+        storage_.persist(work.raft) && (!work.snapshot || storage_.saveSnapshot(*work.snapshot));
+    if (!durable) {
+      // What is on disk is unknown now, so nothing may be promised any more.
+      logEvent(now.count(), "storage_failed", {{"folder", settings_.data_folder}});
+      std::_Exit(EXIT_FAILURE);
+    }
+    carryOut(work);
+    core_->done(work, now);
+  }
+  logState();
+}
+
+void CoordinatorProcess::carryOut(const ControlWork& work) {
+  sendRaft(work.raft.messages);
+  for (const ControlAnswer& answer : work.answers) {
+    if (answer.token >= kFirstOperatorToken) {
+      onOperatorReply(answer.token, answer.reply);
+    } else {
+      frames_.answer(answer.token, FrameKind::kControlReply, encode(answer.reply));
+    }
+  }
+  for (const MemberRequest& request : work.member_requests) {
+    const std::uint64_t request_id = request.request_id;
+    channels_.request(request.address, request.request, kMemberTimeout,
+                      [this, request_id](const std::optional<ControlReply>& reply) {
+                        core_->onMemberReply(request_id, reply, EventLoop::now());
+                        scheduleWork();
+                      });
+  }
+}
+
+void CoordinatorProcess::sendRaft(const std::vector<RaftMessage>& messages) {
+  std::map<std::string, RaftBatch> batches;
+  for (const RaftMessage& message : messages) {
+    const std::string address = core_->addressOf(message.to);
+    if (!address.empty()) {
+      batches[address].messages.push_back(message);
+    }
+  }
+  for (auto& [address, batch] : batches) {
+    batch.sender_address = settings_.member_address.toString();
+    channels_.post(address, FrameKind::kRaftMessages, encode(batch));
+  }
+}
+
+// A member that no leader speaks to asks to be taken in: it may have been replaced meanwhile.
+void CoordinatorProcess::joinIfOutside() {
+  const TimePoint now = EventLoop::now();
+  const RaftNode& raft = core_->raft();
+  const bool inside = core_->authoritative(now) && raft.membership().find(raft.id()) != nullptr;
+  if (inside || now < next_join_) {
+    return;
+  }
+  next_join_ = now + kJoinInterval;
+  std::vector<std::string> targets;
+  for (const std::string& seed : settings_.seeds) {
+    const auto endpoint = parseEndpoint(seed);
+    if (endpoint) {
+      targets.push_back(Endpoint{endpoint->host, settings_.member_address.port}.toString());
+    }
+  }
+  for (const Member& member : raft.membership().members) {
+    targets.push_back(member.address);
+  }
+  ControlRequest request;
+  request.type = ControlRequestType::kJoin;
+  request.member = {raft.id(), settings_.name, settings_.member_address.toString(), false};
+  for (const std::string& target : targets) {
+    if (target != settings_.member_address.toString()) {
+      askToJoin(target, request, true);
+    }
+  }
+}
+
+void CoordinatorProcess::askToJoin(const std::string& target, const ControlRequest& request,
+                                   bool follow_leader) {
+  channels_.request(
+      target, request, kJoinTimeout,
+      [this, target, request, follow_leader](const std::optional<ControlReply>& reply) {
+        const bool elsewhere = reply && reply->error == ErrorKind::kNotLeader &&
+                               !reply->leader_address.empty() && reply->leader_address != target;
+        if (elsewhere && follow_leader) {
+          askToJoin(reply->leader_address, request, false);
+        }
+      });
+}
+
+void CoordinatorProcess::tick() {
+  work();
+  joinIfOutside();
+  const TimePoint now = EventLoop::now();
+  if (now >= next_settings_check_) {
+    next_settings_check_ = now + kSettingsCheckInterval;
+    rereadSettings();
+  }
+  tick_timer_.after(kTickInterval, [this] { tick(); });
+}
+
+void CoordinatorProcess::waitForSignal() {
+  signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+    if (!error) {
+      onSignal(signal);
+      waitForSignal();
+    }
+  });
+}
+
+void CoordinatorProcess::onSignal(int signal) {
+  if (signal == SIGHUP) {
+    rereadSettings();
+    return;
+  }
+  operators_.drain();
+  stop_timer_.after(kStopTime, [this] {
+    logEvent(EventLoop::now().count(), "stopped");
+    loop_.stop();
+  });
+}
+
+// The file may change without a signal. Only the seeds can change while the process runs.
+void CoordinatorProcess::rereadSettings() {
+  std::string text = readFile(settings_path_);
+  if (text == settings_text_) {
+    return;
+  }
+  settings_text_ = std::move(text);
+  std::string error;
+  const auto settings = readCoordinatorSettings(settings_path_, error);
+  const std::int64_t now = EventLoop::now().count();
+  if (!settings) {
+    logEvent(now, "settings_refused", {{"error", error}});
+    return;
+  }
+  settings_.seeds = settings->seeds;
+  logEvent(now, "settings_taken");
+}
+
+void CoordinatorProcess::logState() {
+  const RaftNode& raft = core_->raft();
+  const bool leads = raft.role() == RaftRole::kLeader;
+  std::string state = (leads ? "leader" : "follower") + std::string(" term ") +
+                      std::to_string(raft.term()) + " leader " + std::to_string(raft.leader()) +
+                      " configuration " +
+                      std::to_string(core_->state().traffic().configuration().number) +
+                      " members " + std::to_string(raft.membership().members.size()) + " voters " +
+                      std::to_string(raft.membership().voterCount());
+  if (state != logged_state_) {
+    logEvent(EventLoop::now().count(), "state", {{"is", state}});
+    logged_state_ = std::move(state);
+  }
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/control/coordinator/coordinator_process.h
@@ -0,0 +1,77 @@
+// ramppond-coordinator: a control member on the event loop, for the forwarding path.
+//
+// Carries out what ControlCore decides: keeps its log, talks to the other members and to daemons
+// in frames, and answers the operator over HTTP. One thread; a sync of the disk stops it, and a
+// disk that hangs makes the others elect another leader.
+#pragma once
+
+#include <boost/asio/signal_set.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "control/coordinator/coordinator_settings.h"
+#include "core/control_core.h"
+#include "core/external_api.h"
+#include "net/stream/control_channels.h"
+#include "net/stream/http_server.h"
+#include "storage/raft_storage.h"
+
+namespace ramppond {
+
+class CoordinatorProcess {
+ public:
+  CoordinatorProcess(const ExternalApi& api, CoordinatorSettings settings,
+                     std::string settings_path);
+
+  /// Opens the data folder and listens. Nothing on success, else the reason.
+  std::optional<std::string> start();
+  void run() { loop_.run(); }
+
+ private:
+  std::optional<std::string> openStorage();
+  void bootstrapIfFirst();
+  void serveOperator(const std::shared_ptr<ServerExchange>& exchange);
+  void onReplacement(const std::string& base_version, const std::string& body,
+                     const std::shared_ptr<ServerExchange>& exchange);
+  void onOperatorReply(ControlToken token, const ControlReply& reply);
+  void redirectOrRefuse(const std::shared_ptr<ServerExchange>& exchange, const ControlReply& reply);
+  void onFrame(FrameToken token, const Frame& frame);
+  void scheduleWork();
+  void work();
+  void carryOut(const ControlWork& work);
+  void sendRaft(const std::vector<RaftMessage>& messages);
+  void joinIfOutside();
+  void askToJoin(const std::string& target, const ControlRequest& request, bool follow_leader);
+  void tick();
+  void waitForSignal();
+  void onSignal(int signal);
+  void rereadSettings();
+  void logState();
+
+  EventLoop loop_;
+  const ExternalApi& api_;
+  CoordinatorSettings settings_;
+  std::string settings_path_;
+  std::string settings_text_;
+  PosixFileSystem files_;
+  RaftStorage storage_;
+  std::unique_ptr<ControlCore> core_;
+  ControlChannels channels_;
+  FrameServer frames_;
+  StreamHttpServer operators_;
+  boost::asio::signal_set signals_;
+  LoopTimer tick_timer_;
+  LoopTimer stop_timer_;
+  std::map<ControlToken, std::shared_ptr<ServerExchange>> operator_calls_;
+  ControlToken next_operator_token_;
+  bool work_scheduled_ = false;
+  bool fresh_disk_ = false;
+  TimePoint next_join_{0};
+  TimePoint next_settings_check_{0};
+  std::size_t join_position_ = 0;
+  std::string logged_state_;
+};
+
+}  // namespace ramppond
--- a/core/control_core.cc
+++ b/core/control_core.cc
@@ -4,6 +4,7 @@
 #include <numeric>
 
 #include "core/cbor_codec.h"
+#include "core/member_replacement.h"
 
 namespace ramppond {
 namespace {
@@ -16,6 +17,10 @@
 constexpr std::size_t kRememberedDeltas = 64;
 // Many changes at once are cheaper to hand out, and to apply, as the whole.
 constexpr std::size_t kMaximumDeltaChanges = 100;
+constexpr Duration kMemberChangeInterval = milliseconds(100);
+// A joiner asks again well within this for as long as it is not a member.
+constexpr Duration kJoinerForgotten = seconds(2);
+constexpr std::size_t kMaximumJoiners = 16;
 
 }  // namespace
 
@@ -71,8 +76,15 @@
       return;
     case ControlRequestType::kReadConfiguration:
     case ControlRequestType::kListPlans:
+    case ControlRequestType::kReadTraffic:
       requestRead(token, request);
       return;
+    case ControlRequestType::kJoin:
+      onJoin(token, request, now);
+      return;
+    case ControlRequestType::kProxyPoll:
+      onProxyPoll(token, request, now);
+      return;
     case ControlRequestType::kStatus:
     case ControlRequestType::kIdentity: {
       ControlReply reply;
@@ -162,9 +174,141 @@
   ControlReply reply;
   reply.sessions = registry_.sessionsSince(request.sessions_since);
   reply.sessions_counter = registry_.sessionsCounter();
+  const auto poll = decode<ProxyPoll>(request.proxy_poll);
+  if (poll) {
+    reply.proxy_news = encode(proxyNews(*poll));
+  }
+  answer(token, std::move(reply));
+}
+
+bool ControlCore::bootstrapGroup(std::uint64_t group_id, const Membership& members, TimePoint now) {
+  const bool started = raft_.bootstrapGroup(group_id, members, now);
+  state_.setGroupId(raft_.groupId());
+  return started;
+}
+
+void ControlCore::onJoin(ControlToken token, const ControlRequest& request, TimePoint now) {
+  if (raft_.role() != RaftRole::kLeader) {
+    answerError(token, ErrorKind::kNotLeader, "this member does not lead");
+    return;
+  }
+  const auto same = [&](const Joiner& joiner) { return joiner.member.id == request.member.id; };
+  joiners_.erase(std::remove_if(joiners_.begin(), joiners_.end(), same), joiners_.end());
+  if (joiners_.size() < kMaximumJoiners && raft_.membership().find(request.member.id) == nullptr) {
+    joiners_.push_back({request.member, now});
+  }
+  answer(token, {});
+  changeMembersIfDue(now);
+}
+
+void ControlCore::changeMembersIfDue(TimePoint now) {
+  if (raft_.role() != RaftRole::kLeader || now < next_member_change_) {
+    return;
+  }
+  next_member_change_ = now + kMemberChangeInterval;
+  std::vector<Member> joiners;
+  for (const Joiner& joiner : joiners_) {
+    if (now - joiner.asked < kJoinerForgotten) {
+      joiners.push_back(joiner.member);
+    }
+  }
+  std::vector<VoterSilence> silences;
+  for (const Member& member : raft_.membership().members) {
+    const auto heard = raft_.lastHeardFrom(member.id);
+    if (member.voter && member.id != raft_.id()) {
+      silences.push_back({member.id, now - heard.value_or(raft_.leaderSince())});
+    }
+  }
+  const auto next = nextMembership(raft_.membership(), joiners, silences);
+  if (next) {
+    static_cast<void>(raft_.proposeMembership(*next));
+  }
+}
+
+void ControlCore::onProxyPoll(ControlToken token, const ControlRequest& request, TimePoint now) {
+  const auto poll = decode<ProxyPoll>(request.proxy_poll);
+  if (!poll) {
+    answerError(token, ErrorKind::kMalformedRequest, "not a poll");
+    return;
+  }
+  counters_.polls += 1;
+  if (poll->has_self) {
+    instances_.offer(poll->self);
+  }
+  HeldProxyPoll held;
+  held.poll = *poll;
+  held.received = now;
+  held.due = now + std::min(poll->hold, kLongestHold);
+  if (now >= held.due || !authoritative(now) || hasProxyNews(held, now)) {
+    answerProxyPoll(token, *poll, now);
+    return;
+  }
+  proxy_polls_.emplace(token, std::move(held));
+}
+
+bool ControlCore::hasProxyNews(const HeldProxyPoll& held, TimePoint now) const {
+  const ProxyPoll& poll = held.poll;
+  if (poll.traffic_index < state_.traffic().logIndex() ||
+      poll.registry_epoch != options_.registry_epoch) {
+    return true;
+  }
+  // The daemon's own record is known here in a newer form: it restarted with an older number.
+  const InstanceRecord* own = poll.has_self ? instances_.find(poll.self.daemon_address) : nullptr;
+  if (own != nullptr && own->isNewerThan(poll.self)) {
+    return true;
+  }
+  return poll.registry_counter < instances_.counter() &&
+         now - held.received >= options_.instance_news_spacing;
+}
+
+const std::string& ControlCore::encodedTraffic() {
+  if (encoded_traffic_index_ != state_.traffic().logIndex()) {
+    encoded_traffic_index_ = state_.traffic().logIndex();
+    encoded_traffic_ = encode(state_.traffic().configuration());
+  }
+  return encoded_traffic_;
+}
+
+ProxyNews ControlCore::proxyNews(const ProxyPoll& poll) {
+  ProxyNews news;
+  if (poll.traffic_index < state_.traffic().logIndex()) {
+    news.traffic_index = state_.traffic().logIndex();
+    news.traffic = encodedTraffic();
+  }
+  const bool knows_this_member = poll.registry_epoch == options_.registry_epoch;
+  news.registry_epoch = options_.registry_epoch;
+  news.registry_counter = instances_.counter();
+  news.instances = instances_.changesSince(knows_this_member ? poll.registry_counter : 0);
+  for (const Member& member : raft_.membership().members) {
+    news.member_addresses.push_back(member.address);
+  }
+  return news;
+}
+
+void ControlCore::answerProxyPoll(ControlToken token, const ProxyPoll& poll, TimePoint now) {
+  ProxyNews news = proxyNews(poll);
+  const InstanceRecord* own = poll.has_self ? instances_.find(poll.self.daemon_address) : nullptr;
+  if (own != nullptr && own->isNewerThan(poll.self)) {
+    news.instances.push_back(*own);
+  }
+  counters_.configuration_pushes += news.traffic.empty() ? 0 : 1;
+  ControlReply reply;
+  reply.authoritative = authoritative(now);
+  reply.proxy_news = encode(news);
   answer(token, std::move(reply));
 }
 
+void ControlCore::answerHeldProxyPolls(TimePoint now) {
+  for (auto held = proxy_polls_.begin(); held != proxy_polls_.end();) {
+    if (!hasProxyNews(held->second, now) && now < held->second.due && authoritative(now)) {
+      ++held;
+      continue;
+    }
+    answerProxyPoll(held->first, held->second.poll, now);
+    held = proxy_polls_.erase(held);
+  }
+}
+
 void ControlCore::requestRead(ControlToken token, const ControlRequest& request) {
   const std::uint64_t read_id = next_read_id_++;
   reads_.emplace(read_id, std::make_pair(token, request));
@@ -192,6 +336,11 @@
     answer(token, std::move(reply));
     return;
   }
+  if (request.type == ControlRequestType::kReadTraffic) {
+    reply.traffic_document = state_.traffic().document();
+    answer(token, std::move(reply));
+    return;
+  }
   reply.has_configuration = true;
   reply.configuration = state_.configuration();
   if (request.type == ControlRequestType::kListPlans) {
@@ -306,6 +455,7 @@
 
 void ControlCore::onRequesterGone(ControlToken token) {
   polls_.erase(token);
+  proxy_polls_.erase(token);
 }
 
 void ControlCore::onRaftMessage(const RaftMessage& message, const std::string& sender_address,
@@ -335,7 +485,9 @@
   counters_.elections_won += leads && !was_leader_ ? 1 : 0;
   was_leader_ = leads;
   failPendingIfNotLeader();
+  changeMembersIfDue(now);
   answerHeldPolls(now);
+  answerHeldProxyPolls(now);
   if (now >= next_pull_) {
     next_pull_ = now + options_.session_pull_interval;
     pullSessions(now);
@@ -365,6 +517,12 @@
     pull.request.type = ControlRequestType::kSessions;
     pull.request.sender = raft_.id();
     pull.request.sessions_since = pulled_counters_[member.address];
+    const KnownRegistry& known = pulled_registries_[member.address];
+    ProxyPoll poll;
+    poll.traffic_index = state_.traffic().logIndex();
+    poll.registry_epoch = known.epoch;
+    poll.registry_counter = known.counter;
+    pull.request.proxy_poll = encode(poll);
     session_pulls_.emplace(pull.request_id, member.address);
     member_requests_.push_back(std::move(pull));
   }
@@ -377,6 +535,7 @@
     return;
   }
   std::uint64_t& counter = pulled_counters_[pull->second];
+  KnownRegistry& known = pulled_registries_[pull->second];
   session_pulls_.erase(pull);
   if (!reply) {
     return;
@@ -386,6 +545,14 @@
   for (const DaemonSession& session : reply->sessions) {
     registry_.onSession(session, now);
   }
+  const auto news = decode<ProxyNews>(reply->proxy_news);
+  if (!news) {
+    return;
+  }
+  known = {news->registry_epoch, news->registry_counter};
+  for (const InstanceRecord& record : news->instances) {
+    instances_.offer(record);
+  }
 }
 
 ControlWork ControlCore::take(TimePoint now) {
@@ -423,6 +590,7 @@
   if (configuration_changed_) {
     answerHeldPolls(now);
   }
+  answerHeldProxyPolls(now);
 }
 
 void ControlCore::applyEntry(const LogEntry& entry) {
--- a/core/control_core.h
+++ b/core/control_core.h
@@ -13,6 +13,8 @@
 
 #include "core/control_messages.h"
 #include "core/control_state.h"
+#include "core/instance_registry.h"
+#include "core/proxy_messages.h"
 #include "core/raft.h"
 #include "core/server_registry.h"
 
@@ -25,6 +27,10 @@
   LogIndex entries_per_snapshot = 20000;
   Duration session_pull_interval = milliseconds(500);
   Duration session_lifetime = seconds(30);
+  /// News of servers is handed out at most this often to one daemon; a fleet that starts at once
+  /// would otherwise cause as many answers as the square of its size.
+  Duration instance_news_spacing = milliseconds(100);
+  std::uint64_t registry_epoch = 1;  ///< Drawn at random for each start of the process.
 };
 
 /// Names one request that the driver waits to answer.
@@ -73,6 +79,8 @@
   void onRaftMessage(const RaftMessage& message, const std::string& sender_address, TimePoint now);
   void onMemberReply(std::uint64_t request_id, const std::optional<ControlReply>& reply,
                      TimePoint now);
+  /// Starts a group of several voters at once on empty disks (RaftNode::bootstrapGroup).
+  bool bootstrapGroup(std::uint64_t group_id, const Membership& members, TimePoint now);
   /// The platform's list of servers, which lags.
   void onPlatformList(const std::vector<ServerInfo>& servers, TimePoint now);
   void tick(TimePoint now, std::int64_t wall_clock_ms);
@@ -86,7 +94,8 @@
   [[nodiscard]] const ControlCounters& counters() const { return counters_; }
   [[nodiscard]] ControlStatus status(TimePoint now) const;
   [[nodiscard]] std::size_t listedServers() const { return registry_.listedServers(); }
-  [[nodiscard]] std::size_t heldPolls() const { return polls_.size(); }
+  [[nodiscard]] std::size_t heldPolls() const { return polls_.size() + proxy_polls_.size(); }
+  [[nodiscard]] const InstanceRegistry& instances() const { return instances_; }
   /// Address of a member, for the driver to send Raft messages to.
   [[nodiscard]] std::string addressOf(NodeId id) const;
   /// Hears from a leader, or is one with a quorum.
@@ -98,6 +107,19 @@
     TimePoint due{0};
     std::uint64_t seen_registry_version = 0;
   };
+  struct HeldProxyPoll {
+    ProxyPoll poll;
+    TimePoint received{0};
+    TimePoint due{0};
+  };
+  struct KnownRegistry {
+    std::uint64_t epoch = 0;
+    std::uint64_t counter = 0;
+  };
+  struct Joiner {
+    Member member;
+    TimePoint asked{0};
+  };
   struct PendingProposal {
     ControlToken token = 0;
     Term term = 0;
@@ -107,6 +129,14 @@
   void onCommand(ControlToken token, const ControlRequest& request);
   void onMemberChange(ControlToken token, const ControlRequest& request);
   void onBootstrap(ControlToken token, TimePoint now);
+  void onJoin(ControlToken token, const ControlRequest& request, TimePoint now);
+  void changeMembersIfDue(TimePoint now);
+  void onProxyPoll(ControlToken token, const ControlRequest& request, TimePoint now);
+  ProxyNews proxyNews(const ProxyPoll& poll);
+  [[nodiscard]] bool hasProxyNews(const HeldProxyPoll& held, TimePoint now) const;
+  void answerProxyPoll(ControlToken token, const ProxyPoll& poll, TimePoint now);
+  void answerHeldProxyPolls(TimePoint now);
+  const std::string& encodedTraffic();
   void onSessions(ControlToken token, const ControlRequest& request);
   void requestRead(ControlToken token, const ControlRequest& request);
   void answerRead(std::uint64_t read_id, bool ready);
@@ -138,6 +168,13 @@
   std::uint64_t next_member_request_id_ = 1;
   std::map<std::uint64_t, std::string> session_pulls_;    ///< Request id to address.
   std::map<std::string, std::uint64_t> pulled_counters_;  ///< Address to sessions counter.
+  std::map<std::string, KnownRegistry> pulled_registries_;
+  InstanceRegistry instances_;
+  std::map<ControlToken, HeldProxyPoll> proxy_polls_;
+  std::vector<Joiner> joiners_;
+  TimePoint next_member_change_{0};
+  std::string encoded_traffic_;  ///< Of `encoded_traffic_index_`.
+  std::uint64_t encoded_traffic_index_ = 0;
   std::map<NodeId, std::string> heard_addresses_;
   TimePoint next_pull_{0};
   LogIndex applied_ = 0;
--- a/core/control_messages.h
+++ b/core/control_messages.h
@@ -22,7 +22,10 @@
   kBootstrap = 6,
   kAddMember = 7,
   kRemoveMember = 8,
-  kSessions = 9,  ///< Between control members: sessions changed since a counter.
+  kSessions = 9,      ///< Between control members: sessions changed since a counter.
+  kReadTraffic = 10,  ///< Linearizable read of the traffic configuration.
+  kJoin = 11,         ///< A control member asks the leader to be taken in.
+  kProxyPoll = 12,    ///< A daemon of the forwarding path: what is new for me?
 };
 
 /// A service of whose servers a daemon wants to know, with the digest of what it knows.
@@ -81,7 +84,8 @@
   Command command;
   Member member;  ///< kAddMember; by name for kRemoveMember.
   std::uint64_t sessions_since = 0;
-  NodeId sender = 0;  ///< Control members among themselves.
+  NodeId sender = 0;       ///< Control members among themselves.
+  std::string proxy_poll;  ///< kProxyPoll, kSessions: an encoded ProxyPoll.
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
@@ -91,6 +95,7 @@
     visitor(4, member);
     visitor(5, sessions_since);
     visitor(6, sender);
+    visitor(7, proxy_poll);
   }
 };
 
@@ -184,6 +189,8 @@
   ControlStatus status;
   std::vector<DaemonSession> sessions;
   std::uint64_t sessions_counter = 0;
+  std::string proxy_news;        ///< kProxyPoll, kSessions: an encoded ProxyNews.
+  std::string traffic_document;  ///< kReadTraffic: the operator's text; empty before the first.
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
@@ -206,6 +213,8 @@
     visitor(13, sessions_counter);
     visitor(14, deltas);
     visitor(15, whole_configuration);
+    visitor(16, proxy_news);
+    visitor(17, traffic_document);
   }
 };
 
--- a/core/control_state.cc
+++ b/core/control_state.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/cbor_codec.h"
+
 namespace ramppond {
 namespace {
 
@@ -58,6 +60,8 @@
       std::for_each(command.claims.begin(), command.claims.end(),
                     [this](const ClaimCommand& given_up) { releaseClaim(given_up); });
       return result;
+    case CommandType::kReplaceTraffic:
+      return replaceTraffic(command, version);
   }
   return failure(ErrorKind::kMalformedRequest, "unknown type of command");
 }
@@ -150,6 +154,17 @@
   return result;
 }
 
+CommandResult ControlState::replaceTraffic(const Command& command, ConfigurationVersion version) {
+  const auto replacement = decode<TrafficReplacement>(command.traffic);
+  if (!replacement) {
+    return failure(ErrorKind::kMalformedRequest, "not a replacement of the traffic configuration");
+  }
+  TrafficResult taken = traffic_.apply(*replacement, version.index);
+  CommandResult result = failure(taken.error, std::move(taken.reason));
+  result.version = version;
+  return result;
+}
+
 ClaimReply ControlState::claim(const ClaimCommand& command, std::int64_t now_ms) {
   ClaimReply reply;
   if (abandoned_.count(command.holder) != 0) {
@@ -251,6 +266,9 @@
     snapshot.results.push_back({id, results_.at(id)});
   }
   snapshot.abandoned.assign(abandoned_order_.begin(), abandoned_order_.end());
+  if (traffic_.logIndex() != 0) {
+    snapshot.traffic = encode(traffic_.snapshot());
+  }
   return snapshot;
 }
 
@@ -269,6 +287,10 @@
   for (const CallId& holder : snapshot.abandoned) {
     abandon(holder);
   }
+  const auto traffic = decode<TrafficSnapshot>(snapshot.traffic);
+  if (traffic) {
+    traffic_.restore(*traffic);
+  }
 }
 
 }  // namespace ramppond
--- a/core/control_state.h
+++ b/core/control_state.h
@@ -14,6 +14,7 @@
 #include "core/configuration.h"
 #include "core/errors.h"
 #include "core/planning.h"
+#include "core/traffic_state.h"
 
 namespace ramppond {
 
@@ -24,6 +25,7 @@
   kClaim = 3,
   kCompleteClaim = 4,
   kReleaseClaim = 5,
+  kReplaceTraffic = 6,
 };
 
 /// The claim part of a command: who wants to run what, or how it went.
@@ -54,6 +56,7 @@
   std::vector<ConfigurationChange> changes;
   std::uint64_t plan_id = 0;
   std::vector<ClaimCommand> claims;  ///< Claim commands are batched.
+  std::string traffic;               ///< kReplaceTraffic: an encoded TrafficReplacement.
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
@@ -64,6 +67,7 @@
     visitor(5, changes);
     visitor(6, plan_id);
     visitor(7, claims);
+    visitor(8, traffic);
   }
 };
 
@@ -166,6 +170,7 @@
   std::vector<Claim> claims;
   std::vector<RememberedResult> results;
   std::vector<CallId> abandoned;  ///< Attempts that may not claim any more.
+  std::string traffic;            ///< An encoded TrafficSnapshot; empty if there is none.
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
@@ -175,6 +180,7 @@
     visitor(3, plans);
     visitor(4, claims);
     visitor(5, results);
+    visitor(7, traffic);
   }
 };
 
@@ -200,6 +206,7 @@
   CommandResult apply(const Command& command, ConfigurationVersion version);
 
   [[nodiscard]] const Configuration& configuration() const { return configuration_; }
+  [[nodiscard]] const TrafficState& traffic() const { return traffic_; }
   [[nodiscard]] const Plan* findPlan(std::uint64_t id) const;
   [[nodiscard]] const std::deque<Plan>& plans() const { return plans_; }
   [[nodiscard]] std::size_t claimCount() const { return claims_.size(); }
@@ -213,6 +220,7 @@
   CommandResult plan(const Command& command);
   CommandResult confirm(const Command& command, ConfigurationVersion version);
   CommandResult reject(const Command& command);
+  CommandResult replaceTraffic(const Command& command, ConfigurationVersion version);
   ClaimReply claim(const ClaimCommand& command, std::int64_t now_ms);
   void completeClaim(const ClaimCommand& command);
   void releaseClaim(const ClaimCommand& command);
@@ -222,6 +230,7 @@
   Plan* openPlan(std::uint64_t id, CommandResult& result);
 
   Configuration configuration_;
+  TrafficState traffic_;
   std::uint64_t next_plan_id_ = 1;
   std::deque<Plan> plans_;
   std::map<std::string, Claim> claims_;
--- /dev/null
+++ b/core/first_members.h
@@ -0,0 +1,22 @@
+// The membership with which a group of several control members starts at once.
+//
+// All of them are given the same addresses and must come to the same result without talking: each
+// member's identity and the group's number are derived from the addresses. A member that later
+// comes back with an empty disk draws a random identity instead (RaftStorage).
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/raft_messages.h"
+
+namespace ramppond {
+
+/// Identity of the member at `address` in a group's first membership; never 0.
+NodeId firstIdentity(const std::string& address);
+/// All of `addresses` as voters. The order does not matter.
+Membership firstMembership(std::vector<std::string> addresses);
+/// The number of the group that starts with this membership; never 0.
+std::uint64_t firstGroupId(const Membership& membership);
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/instance_directory.h
@@ -0,0 +1,75 @@
+// The servers that a daemon may send requests to, and the choice among them.
+//
+// Knows what the registry tells, what answers tell of each server's load, and which daemons could
+// not be reached. A choice prefers the own zone while its server has room; otherwise it takes the
+// least loaded of all. Pure, not thread safe.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/instance_registry.h"
+#include "core/random.h"
+#include "core/time.h"
+
+namespace ramppond {
+
+/// What the daemon beside a server tells of its load with each answer.
+struct ServerLoad {
+  std::uint32_t limit = 0;      ///< Requests that it lets the server work on at a time.
+  std::uint32_t under_way = 0;  ///< Requests that the server works on.
+  std::uint32_t waiting = 0;
+  Duration service_time{0};  ///< Smoothed.
+};
+
+/// A server as the directory knows it. Pointers stay valid for the life of the directory.
+struct KnownInstance {
+  InstanceRecord record;
+  ServerLoad load;
+  TimePoint load_told{0};
+  std::uint32_t sent = 0;        ///< Own requests under way to it.
+  std::uint32_t sent_since = 0;  ///< Own requests sent since it last told its load.
+  std::uint32_t failures = 0;    ///< Connections that failed in a row.
+  TimePoint unreachable_until{0};
+  TimePoint refused_until{0};  ///< It refused lately; others are asked first.
+};
+
+struct InstanceDirectoryOptions {
+  std::string zone;
+  std::uint64_t random_seed = 1;
+};
+
+class InstanceDirectory {
+ public:
+  explicit InstanceDirectory(InstanceDirectoryOptions options);
+
+  void offer(const InstanceRecord& record);
+  /// A ready server of `service` whose daemon is not in `excluded`, or nullptr.
+  KnownInstance* choose(const std::string& service, const std::set<std::string>& excluded,
+                        TimePoint now);
+  [[nodiscard]] bool hasInstances(const std::string& service) const;
+
+  void onSent(KnownInstance& instance);
+  void onEnded(KnownInstance& instance);
+  void onLoad(KnownInstance& instance, const ServerLoad& load, TimePoint now);
+  void onRefused(KnownInstance& instance, TimePoint now);
+  void onUnreachable(KnownInstance& instance, TimePoint now);
+  void onReached(KnownInstance& instance);
+  /// The daemon said that this instance takes nothing more: not chosen until a newer record comes.
+  void onFenced(KnownInstance& instance);
+
+ private:
+  [[nodiscard]] double utilization(const KnownInstance& instance) const;
+  [[nodiscard]] bool usable(const KnownInstance& instance, const std::string& service,
+                            const std::set<std::string>& excluded) const;
+
+  InstanceDirectoryOptions options_;
+  Random random_;
+  std::map<std::string, KnownInstance> by_daemon_;
+  std::map<std::string, std::set<std::string>> by_service_;  ///< Service to daemons.
+};
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/local_server.h
@@ -0,0 +1,72 @@
+// The server beside a daemon, as its own heartbeats tell.
+//
+// The daemon is the only process that can reach its server, so this class is the authority on it
+// and the fence: a request meant for another instance, or for one that is leaving, is refused as
+// not run whatever others still believe. Pure, not thread safe.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "core/instance_registry.h"
+#include "core/time.h"
+
+namespace ramppond {
+
+/// One heartbeat.
+struct ServerHeartbeat {
+  std::string instance_id;
+  std::string service;
+  std::string address;  ///< HOST:PORT where the server takes requests.
+  std::string zone;
+  std::uint32_t slots = 0;
+  bool draining = false;
+  Duration cold_left{0};
+  std::uint64_t sequence = 0;  ///< Rises with each heartbeat of one instance.
+};
+
+/// Why the server takes no request for an instance, if it takes none.
+enum class FenceVerdict : std::uint8_t {
+  kAdmit = 0,
+  kNoServer,       ///< No server has been heard, or it has left.
+  kOtherInstance,  ///< Another instance, or another service, runs here now.
+  kDraining,       ///< The instance is leaving and the time for new requests has passed.
+};
+
+class LocalServer {
+ public:
+  /// `draining_admission` is how long after the first draining heartbeat requests that are still
+  /// under way to a leaving instance may be admitted.
+  explicit LocalServer(Duration draining_admission) : draining_admission_(draining_admission) {}
+
+  /// Returns whether anything that others must know has changed. Late heartbeats change nothing.
+  bool onHeartbeat(const ServerHeartbeat& heartbeat, TimePoint now);
+  /// The instance has left or is about to end; it is never taken back.
+  bool onLeave(const std::string& instance_id, TimePoint now);
+  /// The server said that it is another instance than the one last heard.
+  bool onWrongInstance(const std::string& instance_id);
+
+  [[nodiscard]] FenceVerdict admit(const std::string& instance_id, const std::string& service,
+                                   TimePoint now) const;
+  [[nodiscard]] bool known() const { return known_; }
+  [[nodiscard]] const ServerHeartbeat& heartbeat() const { return current_; }
+  /// The record that the daemon tells; address, zone and numbers are the caller's to fill in.
+  [[nodiscard]] InstanceRecord record() const;
+
+ private:
+  struct Past {
+    std::uint64_t sequence = 0;
+    bool left = false;
+  };
+  void forgetOldest();
+
+  Duration draining_admission_;
+  bool known_ = false;
+  bool draining_ = false;
+  TimePoint draining_since_{0};
+  ServerHeartbeat current_;
+  std::map<std::string, Past> past_;
+};
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/proxy_messages.h
@@ -0,0 +1,54 @@
+// What daemons of the forwarding path and control members tell each other about the traffic
+// configuration and the servers. Carried inside ControlRequest and ControlReply.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/instance_registry.h"
+#include "core/traffic_configuration.h"
+
+namespace ramppond {
+
+/// A daemon's question; the answer may be held until there is news. Control members ask each
+/// other the same way, without a record of their own.
+struct ProxyPoll {
+  bool has_self = false;
+  InstanceRecord self;                 ///< The asking daemon's own record.
+  std::uint64_t traffic_index = 0;     ///< Log index of the configuration held; 0 for none.
+  std::uint64_t registry_epoch = 0;    ///< Of the member whose counter follows.
+  std::uint64_t registry_counter = 0;  ///< That member's records are known up to here.
+  Duration hold{0};                    ///< How long the answer may wait for news.
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, has_self);
+    visitor(2, self);
+    visitor(3, traffic_index);
+    visitor(4, registry_epoch);
+    visitor(5, registry_counter);
+    visitor(6, hold);
+  }
+};
+
+struct ProxyNews {
+  std::uint64_t traffic_index = 0;  ///< Of `traffic`.
+  std::string traffic;              ///< An encoded TrafficConfiguration; empty for no news.
+  std::uint64_t registry_epoch = 0;
+  std::uint64_t registry_counter = 0;
+  std::vector<InstanceRecord> instances;
+  std::vector<std::string> member_addresses;  ///< Control members, HOST:PORT.
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, traffic_index);
+    visitor(2, traffic);
+    visitor(3, registry_epoch);
+    visitor(4, registry_counter);
+    visitor(5, instances);
+    visitor(6, member_addresses);
+  }
+};
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/proxy_session.cc
@@ -0,0 +1,152 @@
+#include "core/proxy_session.h"
+
+#include <algorithm>
+
+#include "core/cbor_codec.h"
+
+namespace ramppond {
+namespace {
+
+constexpr Duration kShortestBackoff = milliseconds(50);
+constexpr std::uint64_t kBackoffSpreadUs = 50000;
+// Versions must arrive within seconds, also after several failed polls in a row.
+constexpr std::uint32_t kMaximumDoublings = 3;
+constexpr std::size_t kMaximumMembers = 16;
+
+}  // namespace
+
+ProxySession::ProxySession(ProxySessionOptions options)
+    : options_(std::move(options)),
+      random_(options_.random_seed),
+      incarnation_(options_.incarnation),
+      members_(options_.seeds) {
+  position_ = random_.below(members_.size());
+}
+
+void ProxySession::setOwnRecord(InstanceRecord record) {
+  record_ = std::move(record);
+  revision_ += 1;
+  record_.incarnation = incarnation_;
+  record_.revision = revision_;
+  has_record_ = true;
+  record_untold_ = true;
+}
+
+void ProxySession::setSeeds(std::vector<std::string> seeds) {
+  options_.seeds = std::move(seeds);
+  for (const std::string& seed : options_.seeds) {
+    if (std::find(members_.begin(), members_.end(), seed) == members_.end()) {
+      members_.push_back(seed);
+    }
+  }
+}
+
+const std::string& ProxySession::address() const {
+  return members_.at(position_ % members_.size());
+}
+
+std::optional<OutgoingPoll> ProxySession::takePoll(TimePoint now) {
+  const bool under_way = poll_id_ != 0;
+  if (members_.empty() || (under_way && !record_untold_) || (!under_way && now < next_poll_)) {
+    return std::nullopt;
+  }
+  ProxyPoll poll;
+  poll.has_self = has_record_;
+  poll.self = record_;
+  poll.traffic_index = traffic_index_;
+  poll.registry_epoch = registry_epoch_;
+  poll.registry_counter = registry_counter_;
+  // After a failure the first question is what was missed, not what comes next.
+  poll.hold = failures_ == 0 && hasTraffic() ? options_.hold : Duration(0);
+  OutgoingPoll outgoing;
+  outgoing.address = address();
+  outgoing.poll_id = next_poll_id_++;
+  outgoing.timeout = poll.hold + options_.answer_margin;
+  outgoing.request.type = ControlRequestType::kProxyPoll;
+  outgoing.request.proxy_poll = encode(poll);
+  poll_id_ = outgoing.poll_id;
+  record_untold_ = false;
+  return outgoing;
+}
+
+std::optional<TimePoint> ProxySession::nextPoll() const {
+  return poll_id_ == 0 ? std::optional<TimePoint>(next_poll_) : std::nullopt;
+}
+
+void ProxySession::onReply(std::uint64_t poll_id, const std::optional<ControlReply>& reply,
+                           TimePoint now) {
+  const bool current = poll_id == poll_id_;
+  const bool answered = reply && reply->error == ErrorKind::kNone;
+  const auto news = answered ? decode<ProxyNews>(reply->proxy_news) : std::nullopt;
+  if (current) {
+    poll_id_ = 0;
+  }
+  if (!news) {
+    if (current) {
+      record_untold_ = has_record_;
+      tryNextMember(now);
+    }
+    return;
+  }
+  takeNews(*news, reply->authoritative);
+  if (!current) {
+    return;
+  }
+  if (!reply->authoritative) {
+    record_untold_ = has_record_;
+    tryNextMember(now);
+    return;
+  }
+  failures_ = 0;
+  upstream_ = address();
+  next_poll_ = hasTraffic() ? now : now + kShortestBackoff;
+}
+
+void ProxySession::takeNews(const ProxyNews& news, bool authoritative) {
+  registry_epoch_ = news.registry_epoch;
+  registry_counter_ = news.registry_counter;
+  for (const InstanceRecord& record : news.instances) {
+    if (has_record_ && record.daemon_address == record_.daemon_address) {
+      outdateOwnRecord(record);
+    } else {
+      news_.push_back(record);
+    }
+  }
+  for (const std::string& member : news.member_addresses) {
+    const bool known = std::find(members_.begin(), members_.end(), member) != members_.end();
+    if (!known && members_.size() < kMaximumMembers) {
+      members_.push_back(member);
+    }
+  }
+  // A member that hears no leader may hold an old version; an older one than ours is never taken.
+  if (!authoritative || news.traffic.empty() || news.traffic_index <= traffic_index_) {
+    return;
+  }
+  auto traffic = decode<TrafficConfiguration>(news.traffic);
+  if (traffic) {
+    traffic_ = std::move(*traffic);
+    traffic_index_ = news.traffic_index;
+    traffic_changed_ = true;
+  }
+}
+
+// An earlier process of this daemon used a number as high as ours (its clock ran ahead): go above.
+void ProxySession::outdateOwnRecord(const InstanceRecord& known) {
+  if (!known.isNewerThan(record_)) {
+    return;
+  }
+  incarnation_ = known.incarnation + 1;
+  setOwnRecord(record_);
+}
+
+void ProxySession::tryNextMember(TimePoint now) {
+  upstream_.clear();
+  position_ += 1;
+  registry_epoch_ = 0;
+  const std::uint32_t doublings = std::min(failures_ / 3, kMaximumDoublings);
+  failures_ += 1;
+  const auto jitter = Duration(static_cast<std::int64_t>(random_.below(kBackoffSpreadUs)));
+  next_poll_ = now + kShortestBackoff * (std::int64_t{1} << doublings) + jitter;
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/proxy_session.h
@@ -0,0 +1,96 @@
+// A daemon's session with the control group on the forwarding path: the traffic configuration and
+// the servers of all daemons, against the daemon's own record.
+//
+// The daemon polls one control member at a time and goes to the next one when it gets no answer,
+// or an answer without authority. A configuration is never replaced by an older one. The driver
+// sends what takePoll() gives and reports by onReply(). Pure, not thread safe.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/control_messages.h"
+#include "core/instance_registry.h"
+#include "core/proxy_messages.h"
+#include "core/random.h"
+#include "core/time.h"
+#include "core/traffic_configuration.h"
+
+namespace ramppond {
+
+struct ProxySessionOptions {
+  std::vector<std::string> seeds;  ///< Control members, HOST:PORT.
+  std::uint64_t incarnation = 1;   ///< First number of this process; raised when it is outdated.
+  std::uint64_t random_seed = 1;
+  Duration hold =
+      seconds(1);  ///< How long a member may hold a poll; bounds how long a lost one costs.
+  Duration answer_margin = milliseconds(500);  ///< Beyond the hold, for the answer's way.
+};
+
+/// A poll to send: to `address`, with an answer expected within `timeout`.
+struct OutgoingPoll {
+  std::string address;
+  std::uint64_t poll_id = 0;
+  ControlRequest request;
+  Duration timeout{0};
+};
+
+class ProxySession {
+ public:
+  explicit ProxySession(ProxySessionOptions options);
+
+  /// The server beside this daemon changed: tells the control group at once.
+  void setOwnRecord(InstanceRecord record);
+  void setSeeds(std::vector<std::string> seeds);
+
+  /// The next poll, if one is due. A poll under way is superseded when the own record changed.
+  std::optional<OutgoingPoll> takePoll(TimePoint now);
+  /// When takePoll() may next give something without a further event; nothing while a poll is
+  /// under way.
+  [[nodiscard]] std::optional<TimePoint> nextPoll() const;
+  /// The answer to a poll, or nothing if none came.
+  void onReply(std::uint64_t poll_id, const std::optional<ControlReply>& reply, TimePoint now);
+
+  [[nodiscard]] bool hasTraffic() const { return traffic_index_ != 0; }
+  [[nodiscard]] const TrafficConfiguration& traffic() const { return traffic_; }
+  /// The own record as it was last set, with its numbers.
+  [[nodiscard]] const InstanceRecord& ownRecord() const { return record_; }
+  [[nodiscard]] std::uint64_t trafficIndex() const { return traffic_index_; }
+  bool takeTrafficChanged() { return std::exchange(traffic_changed_, false); }
+  std::vector<InstanceRecord> takeInstances() { return std::exchange(news_, {}); }
+  /// Where the last authoritative answer came from; empty before it and while none comes.
+  [[nodiscard]] const std::string& upstream() const { return upstream_; }
+
+ private:
+  void takeNews(const ProxyNews& news, bool authoritative);
+  void outdateOwnRecord(const InstanceRecord& known);
+  void tryNextMember(TimePoint now);
+  [[nodiscard]] const std::string& address() const;
+
+  ProxySessionOptions options_;
+  Random random_;
+  bool has_record_ = false;
+  InstanceRecord record_;
+  std::uint64_t incarnation_;
+  std::uint64_t revision_ = 0;
+  bool record_untold_ = false;
+
+  std::vector<std::string> members_;  ///< Seeds first, then what members named.
+  std::size_t position_ = 0;
+  std::string upstream_;
+  std::uint64_t registry_epoch_ = 0;
+  std::uint64_t registry_counter_ = 0;
+  std::uint64_t next_poll_id_ = 1;
+  std::uint64_t poll_id_ = 0;  ///< Under way; 0 for none.
+  std::uint32_t failures_ = 0;
+  TimePoint next_poll_{0};
+
+  TrafficConfiguration traffic_;
+  std::uint64_t traffic_index_ = 0;
+  bool traffic_changed_ = false;
+  std::vector<InstanceRecord> news_;
+};
+
+}  // namespace ramppond
--- a/core/raft.cc
+++ b/core/raft.cc
@@ -47,8 +47,23 @@
 }
 
 bool RaftNode::bootstrap(std::uint64_t group_id, const Member& self, TimePoint now) {
+  Membership alone;
+  alone.members = {self};
+  alone.members.front().voter = true;
+  if (!startFirstLog(group_id, alone, now)) {
+    return false;
+  }
+  startElection();
+  return true;
+}
+
+bool RaftNode::bootstrapGroup(std::uint64_t group_id, const Membership& members, TimePoint now) {
+  return startFirstLog(group_id, members, now);
+}
+
+bool RaftNode::startFirstLog(std::uint64_t group_id, const Membership& members, TimePoint now) {
   const bool pristine = hard_state_.group_id == 0 && lastIndex() == 0 && hard_state_.term == 0;
-  if (!pristine || self.id != options_.id || group_id == 0) {
+  if (!pristine || !members.isVoter(options_.id) || group_id == 0) {
     return false;
   }
   now_ = now;
@@ -57,10 +72,8 @@
   LogEntry first;
   first.term = 1;
   first.type = EntryType::kMembership;
-  first.membership.members = {self};
-  first.membership.members.front().voter = true;
+  first.membership = members;
   appendEntry(std::move(first));
-  startElection();
   return true;
 }
 
--- a/core/raft.h
+++ b/core/raft.h
@@ -55,6 +55,11 @@
   /// Makes this node the only voter of a new group. Refused unless its disk is empty.
   bool bootstrap(std::uint64_t group_id, const Member& self, TimePoint now);
 
+  /// Starts a new group of several voters at once. Every one of them must be given the same
+  /// arguments, on an empty disk: they begin with one and the same first entry. Refused unless
+  /// this node is among the members and its disk is empty.
+  bool bootstrapGroup(std::uint64_t group_id, const Membership& members, TimePoint now);
+
   void tick(TimePoint now);
   void step(const RaftMessage& message, TimePoint now);
 
@@ -84,6 +89,8 @@
   /// Leader: when it last heard from `id`. Nothing if never in this term.
   [[nodiscard]] std::optional<TimePoint> lastHeardFrom(NodeId id) const;
   /// Whether this node leads and a quorum answered within the election timeout (check-quorum).
+  /// When this node last became the leader.
+  [[nodiscard]] TimePoint leaderSince() const { return leader_since_; }
   [[nodiscard]] bool holdsLease() const { return role_ == RaftRole::kLeader; }
 
  private:
@@ -102,6 +109,7 @@
     LogIndex index;
   };
 
+  bool startFirstLog(std::uint64_t group_id, const Membership& members, TimePoint now);
   void becomeFollower(Term term, NodeId leader);
   void startPreVote();
   void startElection();
--- a/core/raft_messages.h
+++ b/core/raft_messages.h
@@ -138,4 +138,16 @@
   }
 };
 
+/// Raft messages for one member, sent together.
+struct RaftBatch {
+  std::string sender_address;  ///< Where the sender takes answers.
+  std::vector<RaftMessage> messages;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, messages);
+    visitor(2, sender_address);
+  }
+};
+
 }  // namespace ramppond
--- /dev/null
+++ b/core/server_admission.cc
@@ -0,0 +1,117 @@
+#include "core/server_admission.h"
+
+#include <algorithm>
+
+namespace ramppond {
+namespace {
+
+// Servers slow down when nearly full; this share of the slots stays below every knee described.
+constexpr std::uint32_t kUsablePercent = 94;
+// Memory stays bounded whatever the patience of those who wait.
+constexpr std::size_t kMaximumWaiting = 512;
+// Weight of one answer in the smoothed service time.
+constexpr std::int64_t kSmoothing = 16;
+
+}  // namespace
+
+void ServerAdmission::setSlots(std::uint32_t slots) {
+  const std::uint64_t usable = std::uint64_t{slots} * kUsablePercent / 100;
+  limit_ = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(usable));
+}
+
+std::size_t ServerAdmission::waitingBefore(std::uint32_t priority) const {
+  std::size_t count = 0;
+  for (const auto& [position, waiting] : waiting_) {
+    if (position.priority > priority) {
+      break;
+    }
+    count += 1;
+  }
+  return count;
+}
+
+AdmissionVerdict ServerAdmission::offer(const AdmissionRequest& request, TimePoint now) {
+  if (under_way_ < limit_ && waiting_.empty()) {
+    under_way_ += 1;
+    counters_.dispatched += 1;
+    return AdmissionVerdict::kDispatch;
+  }
+  const auto ahead = static_cast<std::int64_t>(waitingBefore(request.priority) + 1);
+  const Duration wait = service_time_ * ahead / static_cast<std::int64_t>(limit_);
+  if (waiting_.size() >= kMaximumWaiting || wait > request.patience) {
+    counters_.refused_full += 1;
+    return AdmissionVerdict::kRefuse;
+  }
+  const Position position = {request.priority, arrivals_++};
+  waiting_[position] = {request.id, now + request.patience};
+  positions_[request.id] = position;
+  counters_.waited += 1;
+  return AdmissionVerdict::kWait;
+}
+
+void ServerAdmission::onFinished(std::optional<Duration> service_time) {
+  under_way_ -= under_way_ > 0 ? 1 : 0;
+  if (service_time) {
+    service_time_ += (*service_time - service_time_) / kSmoothing;
+  }
+}
+
+void ServerAdmission::withdraw(AdmissionId id) {
+  const auto found = positions_.find(id);
+  if (found == positions_.end()) {
+    return;
+  }
+  waiting_.erase(found->second);
+  positions_.erase(found);
+}
+
+std::optional<AdmissionId> ServerAdmission::takeDispatchable(TimePoint now) {
+  if (under_way_ >= limit_) {
+    return std::nullopt;
+  }
+  for (const auto& [position, waiting] : waiting_) {
+    if (waiting.until < now) {
+      continue;  // takeExpired() gives it its refusal.
+    }
+    const AdmissionId id = waiting.id;
+    positions_.erase(id);
+    waiting_.erase(position);
+    under_way_ += 1;
+    counters_.dispatched += 1;
+    return id;
+  }
+  return std::nullopt;
+}
+
+std::vector<AdmissionId> ServerAdmission::takeExpired(TimePoint now) {
+  std::vector<AdmissionId> expired;
+  for (auto waiting = waiting_.begin(); waiting != waiting_.end();) {
+    if (waiting->second.until > now) {
+      ++waiting;
+      continue;
+    }
+    expired.push_back(waiting->second.id);
+    positions_.erase(waiting->second.id);
+    waiting = waiting_.erase(waiting);
+  }
+  counters_.refused_late += expired.size();
+  return expired;
+}
+
+std::optional<TimePoint> ServerAdmission::nextExpiry() const {
+  std::optional<TimePoint> next;
+  for (const auto& [position, waiting] : waiting_) {
+    next = next ? std::min(*next, waiting.until) : waiting.until;
+  }
+  return next;
+}
+
+Duration ServerAdmission::expectedWait() const {
+  if (under_way_ < limit_) {
+    return Duration(0);
+  }
+  return service_time_ * static_cast<std::int64_t>(waiting_.size() + 1) /
+         static_cast<std::int64_t>(limit_);
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/server_admission.h
@@ -0,0 +1,85 @@
+// Admission in front of one server: how many requests it works on, and who waits.
+//
+// All requests to a server pass the daemon beside it, so the count is exact. A request is
+// dispatched while fewer than the limit are under way; otherwise it waits in order of priority,
+// then of arrival, for a bounded time. Nothing is dispatched beyond the server's slots: some
+// servers never answer what they cannot queue. Pure, not thread safe.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/time.h"
+
+namespace ramppond {
+
+/// Names one request; chosen by the caller, never reused.
+using AdmissionId = std::uint64_t;
+
+enum class AdmissionVerdict : std::uint8_t { kDispatch, kWait, kRefuse };
+
+struct AdmissionRequest {
+  AdmissionId id = 0;
+  std::uint32_t priority = 0;  ///< 0 is the most urgent.
+  Duration patience{0};        ///< The longest that it may wait.
+};
+
+struct AdmissionCounters {
+  std::uint64_t dispatched = 0;
+  std::uint64_t waited = 0;
+  std::uint64_t refused_full = 0;
+  std::uint64_t refused_late = 0;
+};
+
+class ServerAdmission {
+ public:
+  /// `slots` as the server tells; 0 for unknown.
+  void setSlots(std::uint32_t slots);
+  AdmissionVerdict offer(const AdmissionRequest& request, TimePoint now);
+  /// A dispatched request has ended. `service_time` if the server answered it.
+  void onFinished(std::optional<Duration> service_time);
+  /// A waiting request was withdrawn by its caller.
+  void withdraw(AdmissionId id);
+  /// The next waiting request that may be dispatched now; counts as dispatched.
+  std::optional<AdmissionId> takeDispatchable(TimePoint now);
+  /// Waiting requests whose patience has ended; they are no longer waiting.
+  std::vector<AdmissionId> takeExpired(TimePoint now);
+  /// When takeExpired() may next give something.
+  [[nodiscard]] std::optional<TimePoint> nextExpiry() const;
+
+  [[nodiscard]] std::size_t underWay() const { return under_way_; }
+  [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
+  [[nodiscard]] std::uint32_t limit() const { return limit_; }
+  /// Mean time that the server took for a request, smoothed.
+  [[nodiscard]] Duration serviceTime() const { return service_time_; }
+  /// How long a new request would wait at the present rate.
+  [[nodiscard]] Duration expectedWait() const;
+  [[nodiscard]] const AdmissionCounters& counters() const { return counters_; }
+
+ private:
+  struct Position {
+    std::uint32_t priority = 0;
+    std::uint64_t arrival = 0;
+    bool operator<(const Position& other) const {
+      return priority != other.priority ? priority < other.priority : arrival < other.arrival;
+    }
+  };
+  struct Waiting {
+    AdmissionId id = 0;
+    TimePoint until{0};
+  };
+  [[nodiscard]] std::size_t waitingBefore(std::uint32_t priority) const;
+
+  std::uint32_t limit_ = 1;
+  std::size_t under_way_ = 0;
+  std::uint64_t arrivals_ = 0;
+  std::map<Position, Waiting> waiting_;
+  std::map<AdmissionId, Position> positions_;
+  Duration service_time_ = milliseconds(50);
+  AdmissionCounters counters_;
+};
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/traffic_state.h
@@ -0,0 +1,90 @@
+// The replicated record of the traffic configuration in force and of those that were taken before.
+//
+// Deterministic part of ControlState. A replacement names the number it builds on; of two on one
+// base exactly one is taken; a repeated one gets the first answer, also after later replacements.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string>
+
+#include "core/errors.h"
+#include "core/traffic_configuration.h"
+
+namespace ramppond {
+
+/// An operator's wish to put a whole configuration in force.
+struct TrafficReplacement {
+  std::uint64_t base_number = 0;
+  TrafficConfiguration configuration;
+  std::string document;  ///< The operator's own text, given back to whoever reads.
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, base_number);
+    visitor(2, configuration);
+    visitor(3, document);
+  }
+};
+
+/// Identifies a replacement that was taken.
+struct TakenReplacement {
+  std::uint64_t number = 0;
+  std::uint64_t base_number = 0;
+  std::uint64_t checksum = 0;  ///< XXH3-64 of the document.
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, number);
+    visitor(2, base_number);
+    visitor(3, checksum);
+  }
+};
+
+/// All of TrafficState, as a snapshot holds it.
+struct TrafficSnapshot {
+  std::uint64_t log_index = 0;
+  TrafficConfiguration configuration;
+  std::string document;
+  std::vector<TakenReplacement> taken;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, log_index);
+    visitor(2, configuration);
+    visitor(3, document);
+    visitor(4, taken);
+  }
+};
+
+struct TrafficResult {
+  ErrorKind error = ErrorKind::kNone;
+  std::string reason;
+};
+
+/// Replacements whose repetition is recognised; several days of ordinary change.
+constexpr std::size_t kRememberedReplacements = 4096;
+
+class TrafficState {
+ public:
+  /// Applies one committed replacement that lies at `log_index`.
+  TrafficResult apply(const TrafficReplacement& replacement, std::uint64_t log_index);
+
+  /// Place in the log of the configuration in force; 0 before the first. Orders all versions.
+  [[nodiscard]] std::uint64_t logIndex() const { return log_index_; }
+  [[nodiscard]] const TrafficConfiguration& configuration() const { return configuration_; }
+  [[nodiscard]] const std::string& document() const { return document_; }
+
+  [[nodiscard]] TrafficSnapshot snapshot() const;
+  void restore(const TrafficSnapshot& snapshot);
+
+ private:
+  [[nodiscard]] bool wasTaken(const TakenReplacement& wanted) const;
+
+  std::uint64_t log_index_ = 0;
+  TrafficConfiguration configuration_;
+  std::string document_;
+  std::deque<TakenReplacement> taken_;
+};
+
+}  // namespace ramppond
--- /dev/null
+++ b/daemon/proxy/forwarded_request.cc
@@ -0,0 +1,392 @@
+#include "daemon/proxy/forwarded_request.h"
+
+#include <algorithm>
+
+#include "daemon/proxy/peer_headers.h"
+
+namespace ramppond {
+namespace {
+
+// Bodies up to this size are held for a second attempt; longer ones are streamed once.
+constexpr std::size_t kHeldBodyBytes = 65536;
+// Answers up to this size leave when they are whole, so that one that breaks off can be repeated.
+constexpr std::size_t kHeldAnswerBytes = 49152;
+constexpr int kNotFound = 404;
+constexpr int kContentTooLarge = 413;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+// Attempts, whether a server received them or not.
+constexpr std::size_t kMaximumTried = 4;
+// A request may wait for its server for this share of its goal: a refusal is cheap only early.
+constexpr std::int64_t kPatienceDivisor = 5;
+constexpr Duration kLeastTimeForAttempt = milliseconds(10);
+constexpr std::int64_t kRetryAfterDivisor = 6;
+constexpr Duration kLeastRetryAfter = milliseconds(100);
+
+BodyFraming framingOf(const HttpHead& head) {
+  if (head.chunked) {
+    return BodyFraming::kChunked;
+  }
+  return head.content_length ? BodyFraming::kLength : BodyFraming::kNone;
+}
+
+}  // namespace
+
+void ForwardedRequest::serve(ProxyContext& context,
+                             const std::shared_ptr<ServerExchange>& exchange) {
+  const auto request = std::make_shared<ForwardedRequest>(context, exchange);
+  exchange->setHandler(request);
+  request->start();
+}
+
+ForwardedRequest::ForwardedRequest(ProxyContext& context, std::shared_ptr<ServerExchange> exchange)
+    : context_(context), exchange_(std::move(exchange)), deadline_timer_(context.loop) {}
+
+void ForwardedRequest::start() {
+  context_.counters.requests += 1;
+  received_ = EventLoop::now();
+  if (!admitHead()) {
+    return;
+  }
+  const auto wanted =
+      parseMilliseconds(exchange_->request().find(context_.api.headers().deadline_ms));
+  deadline_ = received_ + std::min(wanted.value_or(route_->timeout), route_->timeout);
+  service_ = chooseService(*route_, context_.random.uniform());
+  HttpHead& head = exchange_->mutableRequest();
+  head.removeHopByHop();
+  removePeerHeaders(head);
+  head.set(context_.api.headers().caller_service, context_.settings.service);
+  context_.budget(service_).onFirstSend();
+  deadline_timer_.after(std::max(timeLeft(), Duration(0)), [this] { onDeadline(); });
+  if (!exchange_->hasBody()) {
+    body_ended_ = true;
+    attempt();
+  }
+}
+
+// Finds the route, or answers at once.
+bool ForwardedRequest::admitHead() {
+  traffic_ = context_.traffic;
+  if (traffic_ == nullptr) {
+    answerOwn(kUnavailable, "no configuration", true);
+    return false;
+  }
+  const HttpHead& head = exchange_->request();
+  route_ = traffic_->routes.match(head.get("Host"), head.target);
+  if (route_ == nullptr) {
+    context_.counters.no_route += 1;
+    answerOwn(kNotFound, "no route", false);
+    return false;
+  }
+  if (head.content_length.value_or(0) > traffic_->configuration.limits.max_body_bytes) {
+    exchange_->closeAfterwards();
+    answerOwn(kContentTooLarge, "body too large", false);
+    return false;
+  }
+  return true;
+}
+
+void ForwardedRequest::attempt() {
+  const TimePoint now = EventLoop::now();
+  instance_ = context_.directory.choose(service_, tried_, now);
+  if (instance_ == nullptr || tried_.size() >= kMaximumTried || timeLeft() < kLeastTimeForAttempt) {
+    instance_ = nullptr;
+    if (run_possible_) {
+      answerOwn(kBadGateway, "no server left", false);
+    } else {
+      answerOwn(kUnavailable, "no server", true);
+    }
+    return;
+  }
+  tried_.insert(instance_->record.daemon_address);
+  context_.counters.attempts += 1;
+  own_answer_ = false;
+  HttpHead head = exchange_->request();
+  const Duration patience = route_->goal / kPatienceDivisor - (now - received_);
+  head.set(context_.api.headers().deadline_ms, formatMilliseconds(timeLeft()));
+  head.fields.push_back({std::string(kPeerInstance), instance_->record.instance_id});
+  head.fields.push_back({std::string(kPeerService), service_});
+  head.fields.push_back({std::string(kPeerPriority), std::to_string(route_->priority)});
+  head.fields.push_back({std::string(kPeerPatienceMs), formatMilliseconds(patience)});
+  context_.directory.onSent(*instance_);
+  upstream_ = context_.peer(instance_->record.daemon_address)
+                  .start(head, framingOf(head), body_, body_ended_, shared_from_this());
+}
+
+void ForwardedRequest::endAttempt() {
+  if (instance_ != nullptr) {
+    context_.directory.onEnded(*instance_);
+    instance_ = nullptr;
+  }
+  upstream_.reset();
+  answer_held_ = false;
+  answer_body_.clear();
+}
+
+bool ForwardedRequest::mayRepeat(AttemptEnd end) {
+  if (body_streamed_ || tried_.size() >= kMaximumTried || timeLeft() < kLeastTimeForAttempt) {
+    return false;
+  }
+  if (end == AttemptEnd::kNotSent) {
+    return true;
+  }
+  if (end == AttemptEnd::kUnknown && !isRepeatable(route_->kind)) {
+    return false;
+  }
+  if (arrivals_ >= route_->max_attempts) {
+    return false;
+  }
+  if (!context_.budget(service_).take()) {
+    context_.counters.repeats_unpaid += 1;
+    return false;
+  }
+  context_.counters.repeats += 1;
+  return true;
+}
+
+void ForwardedRequest::afterAttempt(AttemptEnd end, const std::string& reason) {
+  endAttempt();
+  arrivals_ += end == AttemptEnd::kNotSent ? 0 : 1;
+  run_possible_ = run_possible_ || end == AttemptEnd::kUnknown;
+  if (mayRepeat(end)) {
+    attempt();
+    return;
+  }
+  if (run_possible_) {
+    answerOwn(kBadGateway, reason, false);
+  } else {
+    answerOwn(kUnavailable, reason, true);
+  }
+}
+
+void ForwardedRequest::onRequestBody(std::string_view data) {
+  if (over_) {
+    return;
+  }
+  body_bytes_ += data.size();
+  if (body_bytes_ > traffic_->configuration.limits.max_body_bytes) {
+    exchange_->closeAfterwards();
+    answerOwn(kContentTooLarge, "body too large", false);
+    return;
+  }
+  if (upstream_ != nullptr) {
+    upstream_->sendBody(data);
+    if (upstream_->congested()) {
+      exchange_->pauseRequestBody();
+    }
+    return;
+  }
+  body_.append(data);
+  if (body_.size() >= kHeldBodyBytes) {
+    body_streamed_ = true;
+    attempt();
+    body_.clear();
+    body_.shrink_to_fit();
+  }
+}
+
+void ForwardedRequest::onRequestEnd() {
+  if (over_ || body_ended_) {
+    return;
+  }
+  body_ended_ = true;
+  if (upstream_ != nullptr) {
+    upstream_->finishBody();
+  } else {
+    attempt();
+  }
+}
+
+void ForwardedRequest::onRequestDrained() {
+  exchange_->resumeRequestBody();
+}
+
+void ForwardedRequest::onClientGone() {
+  if (over_) {
+    return;
+  }
+  context_.counters.clients_gone += 1;
+  over_ = true;
+  deadline_timer_.cancel();
+  if (upstream_ != nullptr) {
+    upstream_->cancel();
+  }
+  endAttempt();
+}
+
+void ForwardedRequest::onDeadline() {
+  const auto self = shared_from_this();
+  if (over_) {
+    return;
+  }
+  const bool under_way = upstream_ != nullptr && upstream_->sent();
+  if (upstream_ != nullptr) {
+    upstream_->cancel();
+  }
+  endAttempt();
+  if (exchange_->headSent()) {
+    context_.counters.broken_off += 1;
+    over_ = true;
+    exchange_->breakOff();
+    return;
+  }
+  answerOwn(under_way || run_possible_ ? kGatewayTimeout : kUnavailable, "deadline",
+            !under_way && !run_possible_);
+}
+
+// Whether the peer daemon itself made this answer, and what it says of the request.
+void ForwardedRequest::readOutcome(const HttpHead& head) {
+  const std::string* outcome = head.find(kPeerOutcome);
+  own_answer_ = outcome != nullptr;
+  if (!own_answer_) {
+    return;
+  }
+  const std::size_t end = std::min(outcome->find(';'), outcome->size());
+  const std::string_view kind = std::string_view(*outcome).substr(0, end);
+  own_answer_reason_ = *outcome;
+  if (kind == kOutcomeBusy) {
+    own_answer_end_ = AttemptEnd::kNotSent;
+    context_.directory.onRefused(*instance_, EventLoop::now());
+  } else if (kind == kOutcomeFenced) {
+    own_answer_end_ = AttemptEnd::kNotSent;
+    context_.directory.onFenced(*instance_);
+  } else if (kind == kOutcomeNotRun) {
+    own_answer_end_ = AttemptEnd::kNotRun;
+  } else {
+    own_answer_end_ = AttemptEnd::kUnknown;
+  }
+}
+
+void ForwardedRequest::onResponseHead(HttpHead head) {
+  if (over_ || instance_ == nullptr) {
+    return;
+  }
+  context_.directory.onReached(*instance_);
+  const auto load = parseLoad(head.find(kPeerLoad));
+  if (load) {
+    context_.directory.onLoad(*instance_, *load, EventLoop::now());
+  }
+  readOutcome(head);
+  if (own_answer_) {
+    return;
+  }
+  head.removeHopByHop();
+  removePeerHeaders(head);
+  answer_head_ = std::move(head);
+  answer_held_ = true;
+}
+
+void ForwardedRequest::onResponseBody(std::string_view data) {
+  if (over_ || own_answer_) {
+    return;
+  }
+  if (answer_held_) {
+    answer_body_.append(data);
+    if (answer_body_.size() > kHeldAnswerBytes) {
+      releaseAnswer();
+    }
+    return;
+  }
+  exchange_->sendBody(data);
+  if (exchange_->congested() && upstream_ != nullptr) {
+    upstream_->pauseResponse();
+  }
+}
+
+void ForwardedRequest::releaseAnswer() {
+  answer_held_ = false;
+  exchange_->sendHead(answer_head_, framingOf(answer_head_));
+  exchange_->sendBody(answer_body_);
+  answer_body_.clear();
+  answer_body_.shrink_to_fit();
+}
+
+void ForwardedRequest::onResponseDrained() {
+  if (upstream_ != nullptr) {
+    upstream_->resumeResponse();
+  }
+}
+
+void ForwardedRequest::onResponseEnd() {
+  if (over_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (own_answer_) {
+    afterAttempt(own_answer_end_, own_answer_reason_);
+    return;
+  }
+  context_.counters.answered += 1;
+  if (answer_held_) {
+    releaseAnswer();
+  }
+  finish();
+}
+
+void ForwardedRequest::finish() {
+  over_ = true;
+  deadline_timer_.cancel();
+  endAttempt();
+  exchange_->finish();
+}
+
+void ForwardedRequest::onRequestFailed(ClientFailure failure) {
+  if (over_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (exchange_->headSent()) {
+    context_.counters.broken_off += 1;
+    over_ = true;
+    deadline_timer_.cancel();
+    endAttempt();
+    exchange_->breakOff();
+    return;
+  }
+  if (failure == ClientFailure::kNotConnected) {
+    context_.directory.onUnreachable(*instance_, EventLoop::now());
+    afterAttempt(AttemptEnd::kNotSent, "not connected");
+    return;
+  }
+  afterAttempt(AttemptEnd::kUnknown, "connection lost");
+}
+
+std::string ForwardedRequest::retryAfter() {
+  const Duration base = route_ == nullptr
+                            ? kLeastRetryAfter
+                            : std::max(route_->goal / kRetryAfterDivisor, kLeastRetryAfter);
+  const double time = static_cast<double>(base.count()) * (1 + context_.random.uniform());
+  const auto thousandths = static_cast<std::int64_t>(time / 1000);
+  std::string digits = std::to_string(thousandths % 1000);
+  digits.insert(0, 3 - digits.size(), '0');
+  return std::to_string(thousandths / 1000) + "." + digits;
+}
+
+void ForwardedRequest::answerOwn(int status, const std::string& reason, bool retry_after) {
+  over_ = true;
+  deadline_timer_.cancel();
+  if (upstream_ != nullptr) {
+    upstream_->cancel();
+  }
+  endAttempt();
+  if (status == kUnavailable) {
+    context_.counters.refused += 1;
+  } else if (status >= kBadGateway) {
+    context_.counters.failed += 1;
+  }
+  HttpHead head;
+  head.status = status;
+  const std::string& id_header = context_.api.headers().request_id;
+  const std::string* id = exchange_->request().find(id_header);
+  if (id != nullptr) {
+    head.fields.push_back({id_header, *id});
+  }
+  if (retry_after) {
+    head.fields.push_back({"Retry-After", retryAfter()});
+  }
+  head.fields.push_back({"Content-Type", "text/plain"});
+  exchange_->respond(std::move(head), reason + "\n");
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/daemon/proxy/forwarded_request.h
@@ -0,0 +1,82 @@
+// A request of a client of this machine, or of its server: routed, sent to the daemon beside a
+// chosen server, repeated where that is allowed, answered.
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "daemon/proxy/proxy_context.h"
+#include "net/stream/http_client.h"
+#include "net/stream/http_server.h"
+
+namespace ramppond {
+
+class ForwardedRequest : public ExchangeHandler,
+                         public ClientHandler,
+                         public std::enable_shared_from_this<ForwardedRequest> {
+ public:
+  /// Takes over `exchange`.
+  static void serve(ProxyContext& context, const std::shared_ptr<ServerExchange>& exchange);
+  ForwardedRequest(ProxyContext& context, std::shared_ptr<ServerExchange> exchange);
+
+  void onRequestBody(std::string_view data) override;
+  void onRequestEnd() override;
+  void onClientGone() override;
+  void onResponseDrained() override;
+
+  void onResponseHead(HttpHead head) override;
+  void onResponseBody(std::string_view data) override;
+  void onResponseEnd() override;
+  void onRequestFailed(ClientFailure failure) override;
+  void onRequestDrained() override;
+
+ private:
+  /// How an attempt ended, as far as a next one is concerned.
+  enum class AttemptEnd : std::uint8_t {
+    kNotSent,  ///< No server received it.
+    kNotRun,   ///< A server received it and did not run it.
+    kUnknown,  ///< It may have run.
+  };
+
+  void start();
+  bool admitHead();
+  void attempt();
+  void endAttempt();
+  void afterAttempt(AttemptEnd end, const std::string& reason);
+  [[nodiscard]] bool mayRepeat(AttemptEnd end);
+  void onDeadline();
+  void readOutcome(const HttpHead& head);
+  void releaseAnswer();
+  void answerOwn(int status, const std::string& reason, bool retry_after);
+  void finish();
+  [[nodiscard]] Duration timeLeft() const { return deadline_ - EventLoop::now(); }
+  [[nodiscard]] std::string retryAfter();
+
+  ProxyContext& context_;
+  std::shared_ptr<ServerExchange> exchange_;
+  std::shared_ptr<const TrafficInForce> traffic_;
+  const TrafficRoute* route_ = nullptr;
+  std::string service_;
+  std::shared_ptr<ClientExchange> upstream_;
+  KnownInstance* instance_ = nullptr;  ///< Of the attempt under way.
+  std::set<std::string> tried_;
+  LoopTimer deadline_timer_;
+  TimePoint received_{0};
+  TimePoint deadline_{0};
+  std::string body_;  ///< Held for a further attempt.
+  std::uint64_t body_bytes_ = 0;
+  bool body_ended_ = false;
+  bool body_streamed_ = false;  ///< Parts of the body are no longer held: no second attempt.
+  bool over_ = false;
+  bool own_answer_ = false;  ///< The attempt's answer was made by the peer daemon.
+  AttemptEnd own_answer_end_ = AttemptEnd::kNotSent;
+  std::string own_answer_reason_;
+  HttpHead answer_head_;
+  std::string answer_body_;
+  bool answer_held_ = false;    ///< The answer's head and first part wait for the rest.
+  bool run_possible_ = false;   ///< Some attempt may have run.
+  std::uint32_t arrivals_ = 0;  ///< Attempts that a server received.
+};
+
+}  // namespace ramppond
--- /dev/null
+++ b/daemon/proxy/inbound_request.cc
@@ -0,0 +1,274 @@
+#include "daemon/proxy/inbound_request.h"
+
+#include "daemon/proxy/peer_headers.h"
+
+namespace ramppond {
+namespace {
+
+// Bodies up to this size are complete before the request is begun; longer ones are streamed.
+constexpr std::size_t kWholeBodyBytes = 65536;
+constexpr int kUnavailable = 503;
+constexpr int kBadGateway = 502;
+constexpr int kMisdirected = 421;
+constexpr Duration kDefaultTimeLeft = seconds(60);
+// The server gives an answer at its deadline only if something is left to work with.
+constexpr Duration kLeastTimeLeft = milliseconds(2);
+
+BodyFraming framingOf(const HttpHead& head) {
+  if (head.chunked) {
+    return BodyFraming::kChunked;
+  }
+  return head.content_length ? BodyFraming::kLength : BodyFraming::kNone;
+}
+
+bool bodiless(int status) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return status == kNoContent || status == kNotModified;
+}
+
+}  // namespace
+
+void InboundRequest::serve(ProxyContext& context, const std::shared_ptr<ServerExchange>& exchange) {
+  const auto request = std::make_shared<InboundRequest>(context, exchange);
+  exchange->setHandler(request);
+  request->start();
+}
+
+InboundRequest::InboundRequest(ProxyContext& context, std::shared_ptr<ServerExchange> exchange)
+    : context_(context), exchange_(std::move(exchange)) {}
+
+void InboundRequest::start() {
+  context_.counters.inbound += 1;
+  received_ = EventLoop::now();
+  HttpHead& head = exchange_->mutableRequest();
+  instance_id_ = head.get(kPeerInstance);
+  service_ = head.get(kPeerService);
+  const auto left = parseMilliseconds(head.find(context_.api.headers().deadline_ms));
+  deadline_ = received_ + left.value_or(kDefaultTimeLeft);
+  const std::string priority = head.get(kPeerPriority);
+  admission_.id = context_.next_admission_id++;
+  admission_.priority = static_cast<std::uint32_t>(std::strtoul(priority.c_str(), nullptr, 10));
+  admission_.patience = parseMilliseconds(head.find(kPeerPatienceMs)).value_or(Duration(0));
+  head.removeHopByHop();
+  removePeerHeaders(head);
+  head.set(context_.api.headers().expect_instance, instance_id_);
+  if (refuseIfFenced()) {
+    return;
+  }
+  if (!exchange_->hasBody()) {
+    body_ended_ = true;
+    askAdmission();
+  }
+}
+
+bool InboundRequest::refuseIfFenced() {
+  const FenceVerdict verdict = context_.server.admit(instance_id_, service_, EventLoop::now());
+  if (verdict == FenceVerdict::kAdmit) {
+    return false;
+  }
+  context_.counters.inbound_fenced += 1;
+  refuse(kOutcomeFenced, verdict == FenceVerdict::kDraining ? "draining" : "other instance",
+         kUnavailable);
+  return true;
+}
+
+void InboundRequest::askAdmission() {
+  state_ = State::kWaiting;
+  const AdmissionVerdict verdict = context_.admission.offer(admission_, EventLoop::now());
+  if (verdict == AdmissionVerdict::kRefuse) {
+    context_.counters.inbound_refused += 1;
+    refuse(kOutcomeBusy, "queue", kUnavailable);
+    return;
+  }
+  if (verdict == AdmissionVerdict::kDispatch) {
+    onAdmitted();
+    return;
+  }
+  context_.waiting[admission_.id] = weak_from_this();
+  context_.pumpAdmission();
+}
+
+void InboundRequest::onAdmitted() {
+  under_way_ = true;
+  begun_ = EventLoop::now();
+  if (state_ == State::kDone || refuseIfFenced()) {
+    finishServerWork(false);
+    return;
+  }
+  const Duration left = deadline_ - begun_;
+  if (left < kLeastTimeLeft) {
+    refuse(kOutcomeBusy, "deadline", kUnavailable);
+    finishServerWork(false);
+    return;
+  }
+  state_ = State::kRunning;
+  HttpHead& head = exchange_->mutableRequest();
+  head.set(context_.api.headers().deadline_ms, formatMilliseconds(left));
+  upstream_ =
+      context_.server_pool.start(head, framingOf(head), body_, body_ended_, shared_from_this());
+  body_.clear();
+  body_.shrink_to_fit();
+  exchange_->resumeRequestBody();
+}
+
+void InboundRequest::onPatienceEnded() {
+  if (state_ == State::kWaiting) {
+    context_.counters.inbound_refused += 1;
+    refuse(kOutcomeBusy, "waited", kUnavailable);
+  }
+}
+
+void InboundRequest::refuse(std::string_view outcome, const std::string& reason, int status) {
+  HttpHead head;
+  head.status = status;
+  const std::string& id_header = context_.api.headers().request_id;
+  const std::string* id = exchange_->request().find(id_header);
+  if (id != nullptr) {
+    head.fields.push_back({id_header, *id});
+  }
+  head.fields.push_back({std::string(kPeerOutcome), std::string(outcome) + ";" + reason});
+  head.fields.push_back({std::string(kPeerLoad), formatLoad(context_.serverLoad())});
+  const auto exchange = exchange_;
+  done();
+  exchange->respond(std::move(head), "");
+}
+
+void InboundRequest::done() {
+  state_ = State::kDone;
+}
+
+void InboundRequest::finishServerWork(bool answered) {
+  if (!under_way_) {
+    return;
+  }
+  under_way_ = false;
+  const Duration took = EventLoop::now() - begun_;
+  context_.admission.onFinished(answered ? std::optional<Duration>(took) : std::nullopt);
+  context_.pumpAdmission();
+}
+
+void InboundRequest::onRequestBody(std::string_view data) {
+  if (state_ == State::kRunning && upstream_ != nullptr) {
+    upstream_->sendBody(data);
+    if (upstream_->congested()) {
+      exchange_->pauseRequestBody();
+    }
+    return;
+  }
+  if (state_ == State::kDone) {
+    return;
+  }
+  body_.append(data);
+  if (state_ == State::kReceiving && body_.size() >= kWholeBodyBytes) {
+    exchange_->pauseRequestBody();
+    askAdmission();
+  }
+}
+
+void InboundRequest::onRequestEnd() {
+  body_ended_ = true;
+  if (state_ == State::kReceiving && exchange_->hasBody()) {
+    askAdmission();
+  } else if (state_ == State::kRunning && upstream_ != nullptr) {
+    upstream_->finishBody();
+  }
+}
+
+void InboundRequest::onRequestDrained() {
+  exchange_->resumeRequestBody();
+}
+
+void InboundRequest::onClientGone() {
+  if (state_ == State::kWaiting) {
+    context_.admission.withdraw(admission_.id);
+    context_.waiting.erase(admission_.id);
+  }
+  const State before = state_;
+  done();
+  if (before == State::kRunning && upstream_ != nullptr) {
+    upstream_->cancel();
+    finishServerWork(false);
+  }
+}
+
+void InboundRequest::onResponseHead(HttpHead head) {
+  if (state_ != State::kRunning) {
+    return;
+  }
+  const ExternalHeaders& names = context_.api.headers();
+  const bool not_run = head.find(names.not_run) != nullptr || head.status == kMisdirected;
+  head.removeHopByHop();
+  removePeerHeaders(head);
+  if (not_run) {
+    context_.counters.server_not_run += 1;
+    discarding_ = true;
+    if (head.status == kMisdirected && context_.server.onWrongInstance(instance_id_)) {
+      context_.reportServer();
+    }
+    return;
+  }
+  head.fields.push_back({std::string(kPeerLoad), formatLoad(context_.serverLoad())});
+  BodyFraming framing = framingOf(head);
+  if (framing == BodyFraming::kNone && !bodiless(head.status)) {
+    framing = BodyFraming::kChunked;
+  }
+  exchange_->sendHead(head, framing);
+}
+
+void InboundRequest::onResponseBody(std::string_view data) {
+  if (state_ != State::kRunning || discarding_) {
+    return;
+  }
+  exchange_->sendBody(data);
+  if (exchange_->congested()) {
+    upstream_->pauseResponse();
+  }
+}
+
+void InboundRequest::onResponseDrained() {
+  if (upstream_ != nullptr) {
+    upstream_->resumeResponse();
+  }
+}
+
+void InboundRequest::onResponseEnd() {
+  if (state_ != State::kRunning) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (discarding_) {
+    refuse(kOutcomeNotRun, "server", kUnavailable);
+  } else {
+    const auto exchange = exchange_;
+    done();
+    exchange->finish();
+  }
+  finishServerWork(!discarding_);
+}
+
+void InboundRequest::onRequestFailed(ClientFailure failure) {
+  if (state_ != State::kRunning) {
+    return;
+  }
+  const auto self = shared_from_this();
+  context_.counters.server_failures += 1;
+  if (failure == ClientFailure::kNotConnected) {
+    // Nobody listens: the server has ended without a word, until it is heard again.
+    if (context_.server.onWrongInstance(instance_id_)) {
+      context_.reportServer();
+    }
+    refuse(kOutcomeFenced, "no connection", kUnavailable);
+  } else if (exchange_->headSent()) {
+    const auto exchange = exchange_;
+    done();
+    exchange->breakOff();
+  } else if (discarding_) {
+    refuse(kOutcomeNotRun, "server", kUnavailable);
+  } else {
+    refuse(kOutcomeUnknown, "connection lost", kBadGateway);
+  }
+  finishServerWork(false);
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/daemon/proxy/inbound_request.h
@@ -0,0 +1,63 @@
+// A request for the server beside this daemon, sent by a daemon: fenced, admitted, run, answered.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "daemon/proxy/proxy_context.h"
+#include "net/stream/http_client.h"
+#include "net/stream/http_server.h"
+
+namespace ramppond {
+
+class InboundRequest : public ExchangeHandler,
+                       public ClientHandler,
+                       public std::enable_shared_from_this<InboundRequest> {
+ public:
+  /// Takes over `exchange`.
+  static void serve(ProxyContext& context, const std::shared_ptr<ServerExchange>& exchange);
+  InboundRequest(ProxyContext& context, std::shared_ptr<ServerExchange> exchange);
+
+  /// There is room at the server; the request counts as under way.
+  void onAdmitted();
+  /// It waited for as long as it may.
+  void onPatienceEnded();
+
+  void onRequestBody(std::string_view data) override;
+  void onRequestEnd() override;
+  void onClientGone() override;
+  void onResponseDrained() override;
+
+  void onResponseHead(HttpHead head) override;
+  void onResponseBody(std::string_view data) override;
+  void onResponseEnd() override;
+  void onRequestFailed(ClientFailure failure) override;
+  void onRequestDrained() override;
+
+ private:
+  enum class State : std::uint8_t { kReceiving, kWaiting, kRunning, kDone };
+
+  void start();
+  void askAdmission();
+  bool refuseIfFenced();
+  void refuse(std::string_view outcome, const std::string& reason, int status);
+  void finishServerWork(bool answered);
+  void done();
+
+  ProxyContext& context_;
+  std::shared_ptr<ServerExchange> exchange_;
+  std::shared_ptr<ClientExchange> upstream_;
+  State state_ = State::kReceiving;
+  std::string instance_id_;
+  std::string service_;
+  AdmissionRequest admission_;
+  TimePoint received_{0};
+  TimePoint deadline_{0};
+  TimePoint begun_{0};
+  std::string body_;  ///< What came before the server took it.
+  bool body_ended_ = false;
+  bool under_way_ = false;   ///< Counted by the admission.
+  bool discarding_ = false;  ///< The server's answer says "not run": only its end is awaited.
+};
+
+}  // namespace ramppond
--- /dev/null
+++ b/daemon/proxy/peer_headers.cc
@@ -0,0 +1,69 @@
+#include "daemon/proxy/peer_headers.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdlib>
+
+namespace ramppond {
+namespace {
+
+constexpr std::string_view kPrefix = "Ramppond-";
+constexpr double kLongestMs = 1e10;
+
+}  // namespace
+
+void removePeerHeaders(HttpHead& head) {
+  const auto internal = [](const HttpField& field) {
+    return field.name.size() >= kPrefix.size() &&
+           equalNames(std::string_view(field.name).substr(0, kPrefix.size()), kPrefix);
+  };
+  head.fields.erase(std::remove_if(head.fields.begin(), head.fields.end(), internal),
+                    head.fields.end());
+}
+
+std::string formatLoad(const ServerLoad& load) {
+  return std::to_string(load.limit) + "/" + std::to_string(load.under_way) + "/" +
+         std::to_string(load.waiting) + "/" + std::to_string(load.service_time.count());
+}
+
+std::optional<ServerLoad> parseLoad(const std::string* text) {
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  std::array<std::uint64_t, 4> numbers{};
+  const char* position = text->c_str();
+  for (std::uint64_t& number : numbers) {
+    char* end = nullptr;
+    number = std::strtoull(position, &end, 10);
+    if (end == position) {
+      return std::nullopt;
+    }
+    position = *end == '/' ? end + 1 : end;
+  }
+  ServerLoad load;
+  load.limit = static_cast<std::uint32_t>(numbers[0]);
+  load.under_way = static_cast<std::uint32_t>(numbers[1]);
+  load.waiting = static_cast<std::uint32_t>(numbers[2]);
+  load.service_time = Duration(static_cast<std::int64_t>(numbers[3]));
+  return load;
+}
+
+std::optional<Duration> parseMilliseconds(const std::string* text) {
+  if (text == nullptr || text->empty()) {
+    return std::nullopt;
+  }
+  char* end = nullptr;
+  const double value = std::strtod(text->c_str(), &end);
+  const bool whole = end == text->c_str() + text->size();
+  if (!whole || !std::isfinite(value) || value < 0) {
+    return std::nullopt;
+  }
+  return Duration(static_cast<std::int64_t>(std::min(value, kLongestMs) * 1000));
+}
+
+std::string formatMilliseconds(Duration time) {
+  return std::to_string(std::max<std::int64_t>(0, time.count() / 1000));
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/daemon/proxy/peer_headers.h
@@ -0,0 +1,43 @@
+// Header fields that daemons of the forwarding path add for each other. They are taken off whatever
+// comes from clients and servers and never reach either.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/instance_directory.h"
+#include "net/stream/http_head.h"
+
+namespace ramppond {
+
+/// Requests: the instance that was chosen; any other one must not run the request.
+constexpr std::string_view kPeerInstance = "Ramppond-Instance";
+constexpr std::string_view kPeerService = "Ramppond-Service";
+constexpr std::string_view kPeerPriority = "Ramppond-Priority";
+/// Requests: how long the request may wait before its server, in milliseconds.
+constexpr std::string_view kPeerPatienceMs = "Ramppond-Patience-Ms";
+/// Answers made by the daemon beside the server: one of the values below, and a reason.
+constexpr std::string_view kPeerOutcome = "Ramppond-Outcome";
+/// Answers: the load of the server, "limit/under way/waiting/service time in microseconds".
+constexpr std::string_view kPeerLoad = "Ramppond-Load";
+
+/// The request was not handed to the server, for want of room.
+constexpr std::string_view kOutcomeBusy = "busy";
+/// It was not handed to the server: that instance takes no requests any more.
+constexpr std::string_view kOutcomeFenced = "fenced";
+/// The server received it and says that it did not run.
+constexpr std::string_view kOutcomeNotRun = "not_run";
+/// It may have run, and no answer can be had.
+constexpr std::string_view kOutcomeUnknown = "unknown";
+
+/// Removes every field whose name begins with "Ramppond-".
+void removePeerHeaders(HttpHead& head);
+std::string formatLoad(const ServerLoad& load);
+std::optional<ServerLoad> parseLoad(const std::string* text);
+/// A number of milliseconds, fractions allowed; nothing if it is not one or is below 0.
+std::optional<Duration> parseMilliseconds(const std::string* text);
+/// Whole milliseconds, rounded down.
+std::string formatMilliseconds(Duration time);
+
+}  // namespace ramppond
--- /dev/null
+++ b/daemon/proxy/proxy_context.cc
@@ -0,0 +1,103 @@
+#include "daemon/proxy/proxy_context.h"
+
+#include "daemon/proxy/inbound_request.h"
+
+namespace ramppond {
+namespace {
+
+// Requests still on their way to a leaving server are let in for this share of its time.
+constexpr std::int64_t kDrainingAdmissionDivisor = 3;
+// Of the platform's ratio, this share is used: calls that repeated runs make are repeats too.
+constexpr double kRetryRatioUsed = 0.4;
+constexpr double kSavedRepeats = 3;
+constexpr Duration kServerConnectTimeout = milliseconds(1000);
+constexpr Duration kPeerConnectTimeout = milliseconds(300);
+constexpr Duration kPeerIdle = seconds(20);
+
+HttpClientOptions serverPoolOptions(const ProxySettings& settings, const ExternalApi& api) {
+  HttpClientOptions options;
+  options.endpoint = settings.server_address;
+  options.connect_timeout = kServerConnectTimeout;
+  options.id_header = api.headers().request_id;
+  return options;
+}
+
+}  // namespace
+
+ProxyContext::ProxyContext(EventLoop& event_loop, const ExternalApi& external,
+                           ProxySettings own_settings, std::uint64_t seed)
+    : loop(event_loop),
+      api(external),
+      settings(std::move(own_settings)),
+      bounds(api.parseBounds(settings.bounds)),
+      random(seed),
+      directory({settings.zone, seed}),
+      server(bounds.drain_timeout / kDrainingAdmissionDivisor),
+      server_pool(event_loop, serverPoolOptions(settings, external)),
+      admission_timer(event_loop) {}
+
+HttpClientPool& ProxyContext::peer(const std::string& daemon_address) {
+  auto& pool = peers[daemon_address];
+  if (pool == nullptr) {
+    HttpClientOptions options;
+    options.endpoint = parseEndpoint(daemon_address).value_or(Endpoint{"0.0.0.0", 1});
+    options.connect_timeout = kPeerConnectTimeout;
+    options.idle_timeout = kPeerIdle;
+    options.id_header = api.headers().request_id;
+    pool = std::make_unique<HttpClientPool>(loop, options);
+  }
+  return *pool;
+}
+
+RetryBudget& ProxyContext::budget(const std::string& service) {
+  const auto found = budgets.find(service);
+  if (found != budgets.end()) {
+    return found->second;
+  }
+  return budgets.emplace(service, RetryBudget(bounds.retry_ratio * kRetryRatioUsed, kSavedRepeats))
+      .first->second;
+}
+
+ServerLoad ProxyContext::serverLoad() const {
+  ServerLoad load;
+  load.limit = admission.limit();
+  load.under_way = static_cast<std::uint32_t>(admission.underWay());
+  load.waiting = static_cast<std::uint32_t>(admission.waiting());
+  load.service_time = admission.serviceTime();
+  return load;
+}
+
+void ProxyContext::reportServer() {
+  if (server.known()) {
+    admission.setSlots(server.heartbeat().slots);
+  }
+  if (on_server_changed) {
+    on_server_changed();
+  }
+}
+
+void ProxyContext::pumpAdmission() {
+  const TimePoint now = EventLoop::now();
+  for (const AdmissionId id : admission.takeExpired(now)) {
+    const auto request = waiting[id].lock();
+    waiting.erase(id);
+    if (request != nullptr) {
+      request->onPatienceEnded();
+    }
+  }
+  while (const auto id = admission.takeDispatchable(now)) {
+    const auto request = waiting[*id].lock();
+    waiting.erase(*id);
+    if (request == nullptr) {
+      admission.onFinished(std::nullopt);
+      continue;
+    }
+    request->onAdmitted();
+  }
+  const auto next = admission.nextExpiry();
+  if (next) {
+    admission_timer.after(std::max(*next - now, Duration(1000)), [this] { pumpAdmission(); });
+  }
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/daemon/proxy/proxy_context.h
@@ -0,0 +1,82 @@
+// What the parts of a running proxy share. One thread; see ProxyProcess for who owns what.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/external_api.h"
+#include "core/instance_directory.h"
+#include "core/local_server.h"
+#include "core/random.h"
+#include "core/retry_budget.h"
+#include "core/server_admission.h"
+#include "core/traffic_configuration.h"
+#include "daemon/proxy/proxy_settings.h"
+#include "net/stream/event_loop.h"
+#include "net/stream/http_client.h"
+
+namespace ramppond {
+
+/// A configuration in force and its routes; requests hold on to the one that they began with.
+struct TrafficInForce {
+  explicit TrafficInForce(TrafficConfiguration taken)
+      : configuration(std::move(taken)), routes(configuration) {}
+  TrafficConfiguration configuration;
+  TrafficRoutes routes;
+};
+
+struct ProxyCounters {
+  std::uint64_t requests = 0;
+  std::uint64_t answered = 0;  ///< By a server.
+  std::uint64_t refused = 0;   ///< 503: not run.
+  std::uint64_t failed = 0;    ///< 502 and 504: unknown.
+  std::uint64_t no_route = 0;
+  std::uint64_t clients_gone = 0;
+  std::uint64_t broken_off = 0;
+  std::uint64_t attempts = 0;
+  std::uint64_t repeats = 0;
+  std::uint64_t repeats_unpaid = 0;  ///< Not made for want of budget.
+  std::uint64_t inbound = 0;
+  std::uint64_t inbound_fenced = 0;
+  std::uint64_t inbound_refused = 0;
+  std::uint64_t server_not_run = 0;
+  std::uint64_t server_failures = 0;
+};
+
+class InboundRequest;
+
+struct ProxyContext {
+  ProxyContext(EventLoop& event_loop, const ExternalApi& external, ProxySettings own_settings,
+               std::uint64_t seed);
+
+  /// The pool to a peer; made when first needed.
+  HttpClientPool& peer(const std::string& daemon_address);
+  RetryBudget& budget(const std::string& service);
+  /// Begins waiting requests for which there is room now, and refuses those that waited too long.
+  void pumpAdmission();
+  /// The server beside it changed; tells whoever must know.
+  void reportServer();
+  [[nodiscard]] ServerLoad serverLoad() const;
+
+  EventLoop& loop;
+  const ExternalApi& api;
+  ProxySettings settings;
+  OperatingBounds bounds;
+  Random random;
+  std::shared_ptr<const TrafficInForce> traffic;
+  InstanceDirectory directory;
+  LocalServer server;
+  ServerAdmission admission;
+  HttpClientPool server_pool;
+  std::map<std::string, std::unique_ptr<HttpClientPool>> peers;
+  std::map<std::string, RetryBudget> budgets;
+  std::map<AdmissionId, std::weak_ptr<InboundRequest>> waiting;
+  AdmissionId next_admission_id = 1;
+  LoopTimer admission_timer;
+  std::function<void()> on_server_changed;
+  ProxyCounters counters;
+};
+
+}  // namespace ramppond
--- /dev/null
+++ b/daemon/proxy/proxy_process.cc
@@ -0,0 +1,333 @@
+#include "daemon/proxy/proxy_process.h"
+
+#include <csignal>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "common/event_log.h"
+#include "daemon/proxy/forwarded_request.h"
+#include "daemon/proxy/inbound_request.h"
+
+namespace ramppond {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+// Clients stop sending after they were told twice, a second apart, that this daemon is not ready.
+constexpr Duration kLeastStopTime = milliseconds(2500);
+constexpr Duration kStopCheckInterval = milliseconds(100);
+// The end comes this long before the platform would enforce it.
+constexpr Duration kStopMargin = milliseconds(300);
+constexpr std::uint32_t kCounterSeconds = 5;
+constexpr std::size_t kMaximumReportBytes = 65536;
+
+std::uint64_t randomSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32U) | device();
+}
+
+// Orders the starts of one daemon: later ones have higher numbers unless the clock ran backwards,
+// which ProxySession corrects.
+std::uint64_t incarnationNow() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+std::string readFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+HttpServerOptions peerServerOptions() {
+  HttpServerOptions options;
+  options.max_header_bytes = 131072;
+  options.idle_timeout = seconds(60);
+  return options;
+}
+
+/// Collects a short body, then answers.
+class ReportHandler : public ExchangeHandler {
+ public:
+  explicit ReportHandler(std::function<void(const std::string&)> whole)
+      : whole_(std::move(whole)) {}
+  void onRequestBody(std::string_view data) override {
+    if (body_.size() < kMaximumReportBytes) {
+      body_.append(data);
+    }
+  }
+  void onRequestEnd() override { whole_(body_); }
+  void onClientGone() override {}
+
+ private:
+  std::function<void(const std::string&)> whole_;
+  std::string body_;
+};
+
+ProxySessionOptions sessionOptions(const ProxySettings& settings) {
+  ProxySessionOptions options;
+  options.seeds = memberAddresses(settings.seeds, settings.member_port);
+  options.incarnation = incarnationNow();
+  options.random_seed = randomSeed();
+  return options;
+}
+
+}  // namespace
+
+ProxyProcess::ProxyProcess(const ExternalApi& api, const ProxySettings& settings,
+                           std::string settings_path)
+    : settings_path_(std::move(settings_path)),
+      settings_text_(readFile(settings_path_)),
+      context_(loop_, api, settings, randomSeed()),
+      session_(sessionOptions(settings)),
+      channels_(loop_),
+      clients_(loop_, settings.client_address, HttpServerOptions{},
+               [this](const std::shared_ptr<ServerExchange>& exchange) {
+                 ForwardedRequest::serve(context_, exchange);
+               }),
+      peers_(loop_, settings.peer_address, peerServerOptions(),
+             [this](const std::shared_ptr<ServerExchange>& exchange) {
+               InboundRequest::serve(context_, exchange);
+             }),
+      readiness_(
+          loop_, settings.readiness_address, HttpServerOptions{},
+          [this](const std::shared_ptr<ServerExchange>& exchange) { serveReadiness(exchange); }),
+      reports_(loop_, settings.report_address, HttpServerOptions{},
+               [this](const std::shared_ptr<ServerExchange>& exchange) { serveReport(exchange); }),
+      signals_(loop_.context(), SIGTERM, SIGINT, SIGHUP),
+      poll_timer_(loop_),
+      second_timer_(loop_),
+      stop_timer_(loop_) {
+  context_.on_server_changed = [this] { tellOwnRecord(); };
+}
+
+std::optional<std::string> ProxyProcess::start() {
+  for (StreamHttpServer* server : {&clients_, &peers_, &readiness_, &reports_}) {
+    if (auto error = server->start()) {
+      return error;
+    }
+  }
+  waitForSignal();
+  tellOwnRecord();
+  everySecond();
+  logEvent(EventLoop::now().count(), "started", {{"name", context_.settings.name}});
+  return std::nullopt;
+}
+
+void ProxyProcess::answer(const std::shared_ptr<ServerExchange>& exchange, int status,
+                          std::string_view body) {
+  HttpHead head;
+  head.status = status;
+  head.fields.push_back({"Content-Type", "application/json"});
+  exchange->respond(std::move(head), body);
+}
+
+void ProxyProcess::serveReadiness(const std::shared_ptr<ServerExchange>& exchange) {
+  const HttpHead& request = exchange->request();
+  const ExternalCall call = context_.api.classify(request.method, request.target);
+  if (call.type != ExternalCallType::kReadiness) {
+    answer(exchange, kNotFound, "{}");
+    return;
+  }
+  const bool ready = session_.hasTraffic() && !stopping_;
+  answer(exchange, ready ? kOk : kUnavailable, "{}");
+}
+
+void ProxyProcess::serveReport(const std::shared_ptr<ServerExchange>& exchange) {
+  const HttpHead& request = exchange->request();
+  const ExternalCall call = context_.api.classify(request.method, request.target);
+  const bool known =
+      call.type == ExternalCallType::kHeartbeat || call.type == ExternalCallType::kLeave;
+  if (!known) {
+    answer(exchange, kNotFound, "{}");
+    return;
+  }
+  const std::weak_ptr<ServerExchange> weak = exchange;
+  exchange->setHandler(std::make_shared<ReportHandler>([this, call, weak](const std::string& body) {
+    const auto alive = weak.lock();
+    if (alive != nullptr) {
+      onReport(call, body, alive);
+    }
+  }));
+}
+
+void ProxyProcess::onReport(const ExternalCall& call, const std::string& body,
+                            const std::shared_ptr<ServerExchange>& exchange) {
+  const TimePoint now = EventLoop::now();
+  if (call.type == ExternalCallType::kLeave) {
+    if (context_.server.onLeave(call.instance_id, now)) {
+      context_.reportServer();
+    }
+    answer(exchange, kOk, "{}");
+    return;
+  }
+  const auto heartbeat = context_.api.parseHeartbeat(call.instance_id, body);
+  if (!heartbeat.value) {
+    answer(exchange, kBadRequest, "{}");
+    return;
+  }
+  if (context_.server.onHeartbeat(*heartbeat.value, now)) {
+    logEvent(now.count(), "server",
+             {{"instance", call.instance_id},
+              {"state", heartbeat.value->draining ? "draining" : "ready"}});
+    context_.reportServer();
+  }
+  answer(exchange, kOk, "{}");
+}
+
+void ProxyProcess::tellOwnRecord() {
+  InstanceRecord record = context_.server.record();
+  record.daemon_address = context_.settings.peer_address.toString();
+  record.zone = context_.settings.zone;
+  if (stopping_ && record.state == InstanceState::kReady) {
+    record.state = InstanceState::kDraining;
+  }
+  session_.setOwnRecord(record);
+  context_.directory.offer(session_.ownRecord());
+  poll();
+}
+
+void ProxyProcess::poll() {
+  const TimePoint now = EventLoop::now();
+  auto outgoing = session_.takePoll(now);
+  if (outgoing) {
+    const std::uint64_t poll_id = outgoing->poll_id;
+    channels_.request(outgoing->address, outgoing->request, outgoing->timeout,
+                      [this, poll_id](const std::optional<ControlReply>& reply) {
+                        const std::string before = session_.upstream();
+                        session_.onReply(poll_id, reply, EventLoop::now());
+                        if (session_.upstream() != before) {
+                          logEvent(EventLoop::now().count(), "control_member",
+                                   {{"before", before}, {"now", session_.upstream()}});
+                        }
+                        takeNews();
+                        poll();
+                      });
+  }
+  const auto due = session_.nextPoll();
+  if (due) {
+    poll_timer_.after(std::max(*due - now, Duration(1000)), [this] { poll(); });
+  }
+}
+
+void ProxyProcess::takeNews() {
+  for (const InstanceRecord& record : session_.takeInstances()) {
+    context_.directory.offer(record);
+  }
+  if (!session_.takeTrafficChanged()) {
+    return;
+  }
+  context_.traffic = std::make_shared<const TrafficInForce>(session_.traffic());
+  const RequestLimits& limits = session_.traffic().limits;
+  HttpServerOptions options = clients_.options();
+  options.max_header_bytes = static_cast<std::uint32_t>(limits.max_header_bytes);
+  options.header_timeout = limits.header_timeout;
+  options.idle_timeout = limits.idle_timeout;
+  clients_.setOptions(options);
+  logEvent(EventLoop::now().count(), "configuration",
+           {{"number", std::to_string(session_.traffic().number)},
+            {"index", std::to_string(session_.trafficIndex())}});
+}
+
+void ProxyProcess::waitForSignal() {
+  signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+    if (!error) {
+      onSignal(signal);
+      waitForSignal();
+    }
+  });
+}
+
+void ProxyProcess::onSignal(int signal) {
+  if (signal == SIGHUP) {
+    rereadSettings(true);
+    return;
+  }
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stopping_since_ = EventLoop::now();
+  logEvent(stopping_since_.count(), "stopping");
+  clients_.drain();
+  peers_.drain();
+  tellOwnRecord();
+  stopWhenIdle();
+}
+
+void ProxyProcess::stopWhenIdle() {
+  const Duration elapsed = EventLoop::now() - stopping_since_;
+  const bool idle = clients_.underWay() == 0 && peers_.underWay() == 0;
+  if ((idle && elapsed >= kLeastStopTime) || elapsed >= context_.bounds.grace - kStopMargin) {
+    logCounters();
+    logEvent(EventLoop::now().count(), "stopped");
+    loop_.stop();
+    return;
+  }
+  stop_timer_.after(kStopCheckInterval, [this] { stopWhenIdle(); });
+}
+
+// The file may change without a signal. Only the seeds can change while the process runs.
+void ProxyProcess::rereadSettings(bool asked) {
+  std::string text = readFile(settings_path_);
+  if (text == settings_text_) {
+    return;
+  }
+  settings_text_ = std::move(text);
+  std::string error;
+  const auto settings = readProxySettings(settings_path_, error);
+  const std::int64_t now = EventLoop::now().count();
+  if (!settings) {
+    logEvent(now, "settings_refused", {{"error", error}});
+    return;
+  }
+  session_.setSeeds(memberAddresses(settings->seeds, settings->member_port));
+  logEvent(now, "settings_taken", {{"signal", asked ? "yes" : "no"}});
+}
+
+void ProxyProcess::everySecond() {
+  context_.server_pool.sweep();
+  for (const auto& [address, pool] : context_.peers) {
+    pool->sweep();
+  }
+  rereadSettings(false);
+  seconds_ += 1;
+  if (seconds_ % kCounterSeconds == 0) {
+    logCounters();
+  }
+  second_timer_.after(seconds(1), [this] { everySecond(); });
+}
+
+void ProxyProcess::logCounters() {
+  const ProxyCounters& counters = context_.counters;
+  const auto text = [](std::uint64_t number) { return std::to_string(number); };
+  logEvent(
+      EventLoop::now().count(), "counters",
+      {{"requests", text(counters.requests)},
+       {"answered", text(counters.answered)},
+       {"refused", text(counters.refused)},
+       {"failed", text(counters.failed)},
+       {"no_route", text(counters.no_route)},
+       {"clients_gone", text(counters.clients_gone)},
+       {"broken_off", text(counters.broken_off)},
+       {"attempts", text(counters.attempts)},
+       {"repeats", text(counters.repeats)},
+       {"repeats_unpaid", text(counters.repeats_unpaid)},
+       {"inbound", text(counters.inbound)},
+       {"inbound_fenced", text(counters.inbound_fenced)},
+       {"inbound_refused", text(counters.inbound_refused)},
+       {"server_not_run", text(counters.server_not_run)},
+       {"server_failures", text(counters.server_failures)},
+       {"server_connections", text(context_.server_pool.counters().connections_opened)},
+       {"surplus", text(context_.server_pool.counters().surplus_answers)},
+       {"under_way", text(context_.admission.underWay())},
+       {"waiting", text(context_.admission.waiting())},
+       {"service_us", text(static_cast<std::uint64_t>(context_.admission.serviceTime().count()))}});
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/daemon/proxy/proxy_process.h
@@ -0,0 +1,64 @@
+// ramppond-proxy: the daemon of the forwarding path, beside one server and the clients of one
+// machine.
+//
+// Owns the event loop's parts and joins them; decisions are in core/. One thread.
+#pragma once
+
+#include <boost/asio/signal_set.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/proxy_session.h"
+#include "daemon/proxy/proxy_context.h"
+#include "net/stream/control_channels.h"
+#include "net/stream/http_server.h"
+
+namespace ramppond {
+
+class ProxyProcess {
+ public:
+  /// `settings_path` is read again when it changes.
+  ProxyProcess(const ExternalApi& api, const ProxySettings& settings, std::string settings_path);
+
+  /// Listens everywhere. Nothing on success, else the reason.
+  std::optional<std::string> start();
+  /// Serves until a signal to stop has been obeyed.
+  void run() { loop_.run(); }
+
+ private:
+  void serveReadiness(const std::shared_ptr<ServerExchange>& exchange);
+  void serveReport(const std::shared_ptr<ServerExchange>& exchange);
+  void onReport(const ExternalCall& call, const std::string& body,
+                const std::shared_ptr<ServerExchange>& exchange);
+  void answer(const std::shared_ptr<ServerExchange>& exchange, int status, std::string_view body);
+  void poll();
+  void takeNews();
+  void tellOwnRecord();
+  void waitForSignal();
+  void onSignal(int signal);
+  void stopWhenIdle();
+  void rereadSettings(bool asked);
+  void everySecond();
+  void logCounters();
+
+  EventLoop loop_;
+  std::string settings_path_;
+  std::string settings_text_;
+  ProxyContext context_;
+  ProxySession session_;
+  ControlChannels channels_;
+  StreamHttpServer clients_;
+  StreamHttpServer peers_;
+  StreamHttpServer readiness_;
+  StreamHttpServer reports_;
+  boost::asio::signal_set signals_;
+  LoopTimer poll_timer_;
+  LoopTimer second_timer_;
+  LoopTimer stop_timer_;
+  bool stopping_ = false;
+  TimePoint stopping_since_{0};
+  std::uint32_t seconds_ = 0;
+};
+
+}  // namespace ramppond
--- a/net/control_protocol.h
+++ b/net/control_protocol.h
@@ -16,18 +16,6 @@
 constexpr char kPeerCallPath[] = "/call";
 constexpr char kCborType[] = "application/cbor";
 
-/// Raft messages for one member, sent together.
-struct RaftBatch {
-  std::string sender_address;  ///< Where the sender takes answers.
-  std::vector<RaftMessage> messages;
-
-  template <class Visitor>
-  void visitFields(Visitor& visitor) {
-    visitor(1, messages);
-    visitor(2, sender_address);
-  }
-};
-
 /// Sends a request to HOST:PORT; the callback gets nothing if no valid reply came.
 std::uint64_t sendControlRequest(HttpClient& client, const std::string& address,
                                  const ControlRequest& request, Duration timeout,
--- /dev/null
+++ b/net/stream/control_channels.cc
@@ -0,0 +1,39 @@
+#include "net/stream/control_channels.h"
+
+#include "core/cbor_codec.h"
+
+namespace ramppond {
+
+FrameChannel* ControlChannels::channel(const std::string& address) {
+  auto& channel = channels_[address];
+  if (channel == nullptr) {
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
+      return nullptr;
+    }
+    channel = std::make_unique<FrameChannel>(loop_, *endpoint);
+  }
+  return channel.get();
+}
+
+void ControlChannels::request(const std::string& address, const ControlRequest& request,
+                              Duration timeout, Answer answer) {
+  FrameChannel* open = channel(address);
+  if (open == nullptr) {
+    loop_.post([answer = std::move(answer)] { answer(std::nullopt); });
+    return;
+  }
+  open->request(FrameKind::kControlRequest, encode(request), timeout,
+                [answer = std::move(answer)](const std::optional<std::string>& body) {
+                  answer(body ? decode<ControlReply>(*body) : std::nullopt);
+                });
+}
+
+void ControlChannels::post(const std::string& address, FrameKind kind, std::string body) {
+  FrameChannel* open = channel(address);
+  if (open != nullptr) {
+    open->post(kind, std::move(body));
+  }
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/net/stream/control_channels.h
@@ -0,0 +1,34 @@
+// Requests to control members over kept frame channels, one channel an address.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/control_messages.h"
+#include "net/stream/frame_channel.h"
+
+namespace ramppond {
+
+class ControlChannels {
+ public:
+  using Answer = std::function<void(const std::optional<ControlReply>&)>;
+
+  explicit ControlChannels(EventLoop& loop) : loop_(loop) {}
+
+  /// Nothing is given to `answer` if no valid reply came in time.
+  void request(const std::string& address, const ControlRequest& request, Duration timeout,
+               Answer answer);
+  /// Sends without an answer.
+  void post(const std::string& address, FrameKind kind, std::string body);
+
+ private:
+  FrameChannel* channel(const std::string& address);
+
+  EventLoop& loop_;
+  std::map<std::string, std::unique_ptr<FrameChannel>> channels_;
+};
+
+}  // namespace ramppond
--- /dev/null
+++ b/net/stream/event_loop.h
@@ -0,0 +1,56 @@
+// The one event loop of a process, on Boost.Asio, and its clock.
+//
+// Everything in net/stream runs on this loop and on one thread; nothing here locks.
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+#include "core/time.h"
+
+namespace ramppond {
+
+class EventLoop {
+ public:
+  EventLoop() : context_(1) {}
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  boost::asio::io_context& context() { return context_; }
+  /// The steady clock.
+  [[nodiscard]] static TimePoint now() {
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now().time_since_epoch());
+  }
+  void run() { context_.run(); }
+  void stop() { context_.stop(); }
+  /// Runs `work` in a later turn of the loop.
+  void post(std::function<void()> work);
+  /// Where connections read to; holds bytes only within one handler.
+  std::array<char, 65536>& scratch() { return scratch_; }
+
+ private:
+  boost::asio::io_context context_;
+  std::array<char, 65536> scratch_{};
+};
+
+/// A timer that calls back on the loop. Destroying or setting it anew cancels what was set.
+class LoopTimer {
+ public:
+  explicit LoopTimer(EventLoop& loop) : timer_(loop.context()) {}
+  ~LoopTimer() { cancel(); }
+  LoopTimer(const LoopTimer&) = delete;
+  LoopTimer& operator=(const LoopTimer&) = delete;
+
+  void after(Duration delay, std::function<void()> work);
+  void cancel();
+
+ private:
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<bool> armed_;
+};
+
+}  // namespace ramppond
--- /dev/null
+++ b/net/stream/http_parser.cc
@@ -0,0 +1,159 @@
+#include "net/stream/http_parser.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <limits>
+
+namespace ramppond {
+namespace {
+
+namespace http = boost::beast::http;
+using Code = boost::beast::error_code;
+using View = boost::beast::string_view;
+
+std::string toString(View view) {
+  return {view.data(), view.size()};
+}
+
+// Collects the head and passes the body on.
+template <bool isRequest>
+class BeastParser : public http::basic_parser<isRequest> {
+ public:
+  explicit BeastParser(HttpMessageSink& sink) : sink_(sink) {
+    this->eager(true);
+    // "No limit" (boost::none) would refuse every body with a length in Boost 1.74.
+    this->body_limit(std::numeric_limits<std::uint64_t>::max());
+  }
+
+ private:
+  void on_request_impl(http::verb /*verb*/, View method, View target, int version,
+                       Code& /*error*/) override {
+    head_.method = toString(method);
+    head_.target = toString(target);
+    head_.http_1_0 = version < 11;
+  }
+  void on_response_impl(int status, View reason, int version, Code& /*error*/) override {
+    head_.status = status;
+    head_.reason = toString(reason);
+    head_.http_1_0 = version < 11;
+  }
+  void on_field_impl(http::field field, View name, View value, Code& /*error*/) override {
+    if (field != http::field::content_length && field != http::field::transfer_encoding) {
+      head_.fields.push_back({toString(name), toString(value)});
+    }
+  }
+  void on_header_impl(Code& /*error*/) override {
+    head_.keep_alive = this->keep_alive();
+    head_.chunked = this->chunked();
+    const auto length = this->content_length();
+    if (length) {
+      head_.content_length = *length;
+    }
+    sink_.onMessageHead(std::move(head_));
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                         Code& /*error*/) override {}
+  std::size_t on_body_impl(View body, Code& /*error*/) override {
+    sink_.onMessageBody({body.data(), body.size()});
+    return body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/, View /*extensions*/, Code& /*error*/) override {
+  }
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, View body, Code& /*error*/) override {
+    sink_.onMessageBody({body.data(), body.size()});
+    return body.size();
+  }
+  void on_finish_impl(Code& /*error*/) override {}
+
+  HttpMessageSink& sink_;
+  HttpHead head_;
+};
+
+template <class Parser>
+ParseStep step(Parser& parser, std::string_view bytes) {
+  ParseStep result;
+  while (result.consumed < bytes.size() && !parser.is_done()) {
+    Code error;
+    const std::size_t used = parser.put(
+        boost::asio::const_buffer(bytes.data() + result.consumed, bytes.size() - result.consumed),
+        error);
+    result.consumed += used;
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      const bool large = error == http::error::header_limit;
+      result.state = large ? ParseState::kTooLarge : ParseState::kInvalid;
+      return result;
+    }
+    if (used == 0) {
+      break;
+    }
+  }
+  result.state = parser.is_done() ? ParseState::kComplete : ParseState::kIncomplete;
+  return result;
+}
+
+template <class Parser>
+ParseState end(Parser& parser) {
+  if (parser.is_done()) {
+    return ParseState::kComplete;
+  }
+  if (!parser.got_some()) {
+    return ParseState::kIncomplete;
+  }
+  Code error;
+  parser.put_eof(error);
+  return !error && parser.is_done() ? ParseState::kComplete : ParseState::kInvalid;
+}
+
+}  // namespace
+
+class HttpParser::Implementation {
+ public:
+  Implementation(Side side, std::uint32_t head_limit, HttpMessageSink& sink) {
+    if (side == Side::kRequests) {
+      request = std::make_unique<BeastParser<true>>(sink);
+      request->header_limit(head_limit);
+    } else {
+      response = std::make_unique<BeastParser<false>>(sink);
+      response->header_limit(head_limit);
+    }
+  }
+
+  std::unique_ptr<BeastParser<true>> request;
+  std::unique_ptr<BeastParser<false>> response;
+};
+
+HttpParser::HttpParser(Side side, std::uint32_t head_limit, HttpMessageSink& sink)
+    : implementation_(std::make_unique<Implementation>(side, head_limit, sink)) {}
+
+HttpParser::~HttpParser() = default;
+
+void HttpParser::expectNoBody() {
+  if (implementation_->response != nullptr) {
+    implementation_->response->skip(true);
+  }
+}
+
+ParseStep HttpParser::parse(std::string_view bytes) {
+  return implementation_->request != nullptr ? step(*implementation_->request, bytes)
+                                             : step(*implementation_->response, bytes);
+}
+
+ParseState HttpParser::parseEnd() {
+  return implementation_->request != nullptr ? end(*implementation_->request)
+                                             : end(*implementation_->response);
+}
+
+bool HttpParser::started() const {
+  return implementation_->request != nullptr ? implementation_->request->got_some()
+                                             : implementation_->response->got_some();
+}
+
+bool HttpParser::headDone() const {
+  return implementation_->request != nullptr ? implementation_->request->is_header_done()
+                                             : implementation_->response->is_header_done();
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/net/stream/http_server.h
@@ -0,0 +1,126 @@
+// HTTP/1.1 server side of the forwarding path: streamed bodies both ways, answers in the order of
+// the requests, and connections that end without cutting an answer.
+//
+// Requests with a safe method that arrive behind others on a connection are begun at once and
+// answered in order; any other request is begun when all before it are answered, since a client
+// sends whatever lies behind a closing answer again.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "net/stream/http_head.h"
+#include "net/stream/http_parser.h"
+#include "net/stream/tcp_connection.h"
+
+namespace ramppond {
+
+class HttpServerConnection;
+
+/// What happens to a request after its head, told to whoever answers it.
+class ExchangeHandler {
+ public:
+  virtual ~ExchangeHandler() = default;
+  virtual void onRequestBody(std::string_view data) = 0;
+  virtual void onRequestEnd() = 0;
+  /// The client closed or the connection broke; nothing more is told.
+  virtual void onClientGone() = 0;
+  /// The client has read enough for more to be sent.
+  virtual void onResponseDrained() {}
+};
+
+/// One request and its answer. Valid after its connection has ended; then it does nothing.
+class ServerExchange : public std::enable_shared_from_this<ServerExchange> {
+ public:
+  ServerExchange(HttpServerConnection& connection, HttpHead request);
+
+  [[nodiscard]] const HttpHead& request() const { return request_; }
+  HttpHead& mutableRequest() { return request_; }
+  void setHandler(std::shared_ptr<ExchangeHandler> handler) { handler_ = std::move(handler); }
+  [[nodiscard]] bool hasBody() const;
+
+  /// Begins the answer; sendBody() and finish() follow. kLength takes head.content_length.
+  void sendHead(const HttpHead& head, BodyFraming framing);
+  void sendBody(std::string_view data);
+  void finish();
+  /// A whole answer in one go.
+  void respond(HttpHead head, std::string_view body);
+  /// Breaks the answer off, so that the client sees that it is not complete.
+  void breakOff();
+  [[nodiscard]] bool headSent() const { return head_sent_; }
+  [[nodiscard]] bool over() const { return finished_ || connection_ == nullptr; }
+  /// Whether whoever sends should wait for onResponseDrained().
+  [[nodiscard]] bool congested() const;
+  void pauseRequestBody();
+  void resumeRequestBody();
+  /// The connection ends after this answer, if no other request has begun on it.
+  void closeAfterwards() { close_wanted_ = true; }
+
+ private:
+  friend class HttpServerConnection;
+  void put(std::string_view bytes);
+
+  HttpServerConnection* connection_;
+  HttpHead request_;
+  std::shared_ptr<ExchangeHandler> handler_;
+  std::string held_;  ///< Of an answer whose turn has not come.
+  BodyFraming framing_ = BodyFraming::kNone;
+  bool first_ = false;  ///< Its turn has come.
+  bool head_sent_ = false;
+  bool finished_ = false;
+  bool broken_ = false;
+  bool request_ended_ = false;
+  bool close_wanted_ = false;
+  bool close_announced_ = false;
+  bool until_close_ = false;  ///< The answer's body ends with the connection (HTTP/1.0).
+};
+
+struct HttpServerOptions {
+  std::uint32_t max_header_bytes = 16384;
+  Duration header_timeout = seconds(10);
+  Duration idle_timeout = seconds(60);
+  std::string reply_id_header;  ///< Copied from a request to answers made by the server itself.
+};
+
+/// Listens on one address. Limits may be changed while it runs.
+class StreamHttpServer {
+ public:
+  using Factory = std::function<void(const std::shared_ptr<ServerExchange>&)>;
+
+  StreamHttpServer(EventLoop& loop, Endpoint endpoint, HttpServerOptions options, Factory factory);
+  ~StreamHttpServer();
+
+  /// Nothing on success, else why it cannot listen.
+  std::optional<std::string> start();
+  void setOptions(const HttpServerOptions& options) { options_ = options; }
+  [[nodiscard]] const HttpServerOptions& options() const { return options_; }
+  /// From now on every answer ends its connection when no other request has begun on it.
+  void drain() { draining_ = true; }
+  [[nodiscard]] bool draining() const { return draining_; }
+  /// Requests that are not answered yet.
+  [[nodiscard]] std::size_t underWay() const { return under_way_; }
+  [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+
+ private:
+  friend class HttpServerConnection;
+  void accept();
+  void sweep();
+
+  EventLoop& loop_;
+  Endpoint endpoint_;
+  HttpServerOptions options_;
+  Factory factory_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  LoopTimer sweep_timer_;
+  LoopTimer accept_timer_;
+  std::set<std::shared_ptr<HttpServerConnection>> connections_;
+  std::size_t under_way_ = 0;
+  bool draining_ = false;
+};
+
+}  // namespace ramppond
--- /dev/null
+++ b/tests/net/stream/frame_channel_test.cc
@@ -0,0 +1,94 @@
+// Frames between processes: whole requests and answers, peers that are gone or silent.
+#include "net/stream/frame_channel.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ramppond {
+namespace {
+
+Endpoint freeEndpoint(EventLoop& loop) {
+  boost::asio::ip::tcp::acceptor probe(
+      loop.context(),
+      boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address_v4("127.0.0.1"), 0));
+  return {"127.0.0.1", probe.local_endpoint().port()};
+}
+
+class FrameChannelTest : public testing::Test {
+ protected:
+  void startServer(bool answers) {
+    server_ = std::make_unique<FrameServer>(
+        loop_, endpoint_,
+        [this, answers](FrameToken token, const Frame& frame) {
+          if (answers) {
+            server_->answer(token, FrameKind::kControlReply, "re:" + frame.body);
+          }
+        },
+        [](FrameToken) {});
+    ASSERT_EQ(server_->start(), std::nullopt);
+  }
+  std::optional<std::string> ask(FrameChannel& channel, const std::string& body, Duration timeout) {
+    std::optional<std::string> result;
+    bool answered = false;
+    channel.request(FrameKind::kControlRequest, body, timeout,
+                    [&](const std::optional<std::string>& answer) {
+                      answered = true;
+                      result = answer;
+                      loop_.stop();
+                    });
+    loop_.context().restart();
+    loop_.run();
+    EXPECT_TRUE(answered);
+    return result;
+  }
+
+  EventLoop loop_;
+  Endpoint endpoint_ = freeEndpoint(loop_);
+  std::unique_ptr<FrameServer> server_;
+};
+
+TEST_F(FrameChannelTest, RequestsAreAnsweredOnOneConnection) {
+  startServer(true);
+  FrameChannel channel(loop_, endpoint_);
+  EXPECT_EQ(ask(channel, "a", seconds(5)), "re:a");
+  EXPECT_EQ(ask(channel, std::string(200000, 'x'), seconds(5)), "re:" + std::string(200000, 'x'));
+}
+
+TEST_F(FrameChannelTest, GoesOnAfterAPeerThatRefusedOrWasSilent) {
+  FrameChannel channel(loop_, endpoint_);
+  EXPECT_EQ(ask(channel, "a", seconds(5)), std::nullopt);
+  EXPECT_EQ(ask(channel, "b", seconds(5)), std::nullopt);
+  startServer(false);
+  EXPECT_EQ(ask(channel, "c", milliseconds(50)), std::nullopt);
+  EXPECT_EQ(ask(channel, "d", milliseconds(50)), std::nullopt);
+  server_.reset();
+  startServer(true);
+  EXPECT_EQ(ask(channel, "e", seconds(5)), "re:e");
+}
+
+TEST_F(FrameChannelTest, ConnectionsThatHangAreGivenUp) {
+  // An address of the documentation range (RFC 5737): nobody answers there.
+  FrameChannel channel(loop_, {"192.0.2.1", 9});
+  EXPECT_EQ(ask(channel, "a", milliseconds(30)), std::nullopt);
+  EXPECT_EQ(ask(channel, "b", seconds(30)), std::nullopt);
+}
+
+TEST(FrameReaderTest, RefusesWhatIsNotAFrame) {
+  FrameReader reader;
+  std::vector<Frame> frames;
+  const std::string whole = encodeFrame({7, FrameKind::kControlReply, "body"});
+  for (const char byte : whole) {
+    EXPECT_TRUE(reader.feed(std::string_view(&byte, 1),
+                            [&](Frame frame) { frames.push_back(std::move(frame)); }));
+  }
+  ASSERT_EQ(frames.size(), 1U);
+  EXPECT_EQ(frames.front().number, 7U);
+  EXPECT_EQ(frames.front().body, "body");
+  EXPECT_FALSE(reader.feed(std::string(16, '\xff'), [](const Frame&) {}));
+}
+
+}  // namespace
+}  // namespace ramppond
--- /dev/null
+++ b/tests/net/stream/http_stream_test.cc
@@ -0,0 +1,352 @@
+// Server and client side of the forwarding path's HTTP against each other and against raw bytes,
+// on one event loop.
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/stream/http_client.h"
+#include "net/stream/http_server.h"
+
+namespace ramppond {
+namespace {
+
+constexpr Duration kTestLimit = seconds(20);
+
+Endpoint freeEndpoint(EventLoop& loop) {
+  boost::asio::ip::tcp::acceptor probe(
+      loop.context(),
+      boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address_v4("127.0.0.1"), 0));
+  return {"127.0.0.1", probe.local_endpoint().port()};
+}
+
+/// Answers with the request's own id and body.
+class EchoHandler : public ExchangeHandler {
+ public:
+  explicit EchoHandler(std::weak_ptr<ServerExchange> exchange) : exchange_(std::move(exchange)) {}
+  void onRequestBody(std::string_view data) override { body_.append(data); }
+  void onRequestEnd() override {
+    const auto exchange = exchange_.lock();
+    HttpHead head;
+    head.status = 200;
+    head.fields.push_back({"Request-Id", exchange->request().get("Request-Id")});
+    exchange->respond(std::move(head), exchange->request().target + ":" + body_);
+  }
+  void onClientGone() override {}
+
+ private:
+  std::weak_ptr<ServerExchange> exchange_;
+  std::string body_;
+};
+
+class RecordingClient : public ClientHandler {
+ public:
+  explicit RecordingClient(std::function<void()> ended) : ended_(std::move(ended)) {}
+  void onResponseHead(HttpHead head) override { status = head.status; }
+  void onResponseBody(std::string_view data) override { body.append(data); }
+  void onResponseEnd() override {
+    complete = true;
+    ended_();
+  }
+  void onRequestFailed(ClientFailure reason) override {
+    failure = reason;
+    ended_();
+  }
+  int status = 0;
+  std::string body;
+  bool complete = false;
+  std::optional<ClientFailure> failure;
+
+ private:
+  std::function<void()> ended_;
+};
+
+/// A peer that sends fixed bytes, whatever it is sent.
+class RawConnection : public TcpConnection {
+ public:
+  RawConnection(EventLoop& loop, const Endpoint& endpoint, std::string bytes,
+                std::function<void(const std::string&)> ended)
+      : TcpConnection(loop),
+        bytes_(std::move(bytes)),
+        ended_(std::move(ended)),
+        endpoint_(endpoint) {}
+  void open() { connect(endpoint_, seconds(2)); }
+  std::string received;
+
+ private:
+  void onConnected() override {
+    startReading();
+    write(bytes_);
+  }
+  void onData(std::string_view bytes) override { received.append(bytes); }
+  void onEnd(ConnectionEnd /*end*/) override {
+    abort(false);
+    ended_(received);
+  }
+  std::string bytes_;
+  std::function<void(const std::string&)> ended_;
+  Endpoint endpoint_;
+};
+
+/// Accepts connections one after the other and answers each request with the next given bytes.
+class ScriptedServer {
+ public:
+  ScriptedServer(EventLoop& loop, const Endpoint& endpoint, std::vector<std::string> answers)
+      : loop_(loop), answers_(std::move(answers)), acceptor_(loop.context()) {
+    acceptor_.open(boost::asio::ip::tcp::v4());
+    acceptor_.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
+    acceptor_.bind({boost::asio::ip::make_address_v4(endpoint.host), endpoint.port});
+    acceptor_.listen();
+    accept();
+  }
+  std::size_t accepted = 0;
+
+ private:
+  class Connection : public TcpConnection {
+   public:
+    Connection(EventLoop& loop, boost::asio::ip::tcp::socket socket, ScriptedServer& server)
+        : TcpConnection(loop, std::move(socket)), server_(server) {}
+    void start() { startReading(); }
+
+   private:
+    void onData(std::string_view bytes) override {
+      input_.append(bytes);
+      while (true) {
+        const std::size_t end = input_.find("\r\n\r\n");
+        if (end == std::string::npos || server_.next_ >= server_.answers_.size()) {
+          return;
+        }
+        input_.erase(0, end + 4);
+        const std::string answer = server_.answers_[server_.next_++];
+        if (answer.empty()) {
+          abort(true);
+          return;
+        }
+        write(answer);
+      }
+    }
+    void onEnd(ConnectionEnd /*end*/) override { abort(false); }
+    ScriptedServer& server_;
+    std::string input_;
+  };
+  void accept() {
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+          if (error) {
+            return;
+          }
+          accepted += 1;
+          std::make_shared<Connection>(loop_, std::move(socket), *this)->start();
+          accept();
+        });
+  }
+  EventLoop& loop_;
+  std::vector<std::string> answers_;
+  std::size_t next_ = 0;
+  boost::asio::ip::tcp::acceptor acceptor_;
+};
+
+class HttpStreamTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    endpoint_ = freeEndpoint(loop_);
+    limit_.after(kTestLimit, [this] {
+      timed_out_ = true;
+      loop_.stop();
+    });
+  }
+  void startEcho() {
+    server_ = std::make_unique<StreamHttpServer>(
+        loop_, endpoint_, HttpServerOptions{}, [](const std::shared_ptr<ServerExchange>& exchange) {
+          exchange->setHandler(std::make_shared<EchoHandler>(exchange));
+        });
+    ASSERT_EQ(server_->start(), std::nullopt);
+  }
+  HttpClientPool& pool() {
+    if (pool_ == nullptr) {
+      HttpClientOptions options;
+      options.endpoint = endpoint_;
+      options.id_header = "Request-Id";
+      pool_ = std::make_unique<HttpClientPool>(loop_, options);
+    }
+    return *pool_;
+  }
+  std::shared_ptr<RecordingClient> send(const std::string& id, const std::string& body) {
+    const auto client = std::make_shared<RecordingClient>([this] {
+      ended_ += 1;
+      if (ended_ >= awaited_) {
+        loop_.stop();
+      }
+    });
+    HttpHead head;
+    head.method = body.empty() ? "GET" : "POST";
+    head.target = "/" + id;
+    head.fields = {{"Host", "test"}, {"Request-Id", id}};
+    if (!body.empty()) {
+      head.content_length = body.size();
+    }
+    exchanges_.push_back(pool().start(
+        head, body.empty() ? BodyFraming::kNone : BodyFraming::kLength, body, true, client));
+    return client;
+  }
+  /// Sends raw bytes to the echo server; gives all that came back until it closed.
+  std::string sendRaw(const std::string& bytes) {
+    std::string answer;
+    const auto raw =
+        std::make_shared<RawConnection>(loop_, endpoint_, bytes, [&](const std::string& received) {
+          answer = received;
+          loop_.stop();
+        });
+    raw->open();
+    run();
+    return answer;
+  }
+  void run(std::size_t awaited = 1) {
+    awaited_ = awaited;
+    ended_ = 0;
+    loop_.context().restart();
+    loop_.run();
+    ASSERT_FALSE(timed_out_);
+  }
+
+  EventLoop loop_;
+  LoopTimer limit_{loop_};
+  bool timed_out_ = false;
+  Endpoint endpoint_;
+  std::unique_ptr<StreamHttpServer> server_;
+  std::unique_ptr<HttpClientPool> pool_;
+  std::vector<std::shared_ptr<ClientExchange>> exchanges_;
+  std::size_t ended_ = 0;
+  std::size_t awaited_ = 1;
+};
+
+TEST_F(HttpStreamTest, WholeAnswerComesBackAndTheConnectionIsKept) {
+  startEcho();
+  const auto first = send("a", "");
+  run();
+  const auto second = send("b", "some body");
+  run();
+  EXPECT_TRUE(first->complete);
+  EXPECT_EQ(first->body, "/a:");
+  EXPECT_TRUE(second->complete);
+  EXPECT_EQ(second->body, "/b:some body");
+  EXPECT_EQ(pool().counters().connections_opened, 1U);
+}
+
+TEST_F(HttpStreamTest, LargeBodiesPassBothWays) {
+  startEcho();
+  const std::string body(3000000, 'x');
+  const auto client = send("large", body);
+  run();
+  EXPECT_TRUE(client->complete);
+  EXPECT_EQ(client->body.size(), body.size() + 7);
+}
+
+TEST_F(HttpStreamTest, PipelinedRequestsAreAnsweredInOrder) {
+  startEcho();
+  const std::string answer = sendRaw(
+      "GET /1 HTTP/1.1\r\nHost: t\r\n\r\nGET /2 HTTP/1.1\r\nHost: t\r\n\r\n"
+      "GET /3 HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n");
+  const std::size_t one = answer.find("/1:");
+  const std::size_t two = answer.find("/2:");
+  const std::size_t three = answer.find("/3:");
+  ASSERT_NE(three, std::string::npos);
+  EXPECT_LT(one, two);
+  EXPECT_LT(two, three);
+}
+
+TEST_F(HttpStreamTest, ChunkedRequestBodyIsRead) {
+  startEcho();
+  const std::string answer = sendRaw(
+      "POST /c HTTP/1.1\r\nHost: t\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  EXPECT_NE(answer.find("/c:abcde"), std::string::npos);
+}
+
+TEST_F(HttpStreamTest, BadRequestsAreRefusedAndTheConnectionEnds) {
+  startEcho();
+  const std::vector<std::string> bad = {
+      "nonsense\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost: t\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+      "POST / HTTP/1.1\r\nHost: t\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nHost: t\r\nContent-Length: -3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nHost: t\r\nContent-Length: abc\r\n\r\nabc",
+      "GET / HTTP/1.1\r\nHost t\r\n\r\n",
+      "GET / HTTP/9.9\r\nHost: t\r\n\r\n",
+  };
+  for (const std::string& bytes : bad) {
+    EXPECT_EQ(sendRaw(bytes).substr(0, 12), "HTTP/1.1 400") << bytes;
+  }
+  const std::string large = "GET / HTTP/1.1\r\nHost: t\r\nX: " + std::string(20000, 'x');
+  EXPECT_EQ(sendRaw(large + "\r\n\r\n").substr(0, 12), "HTTP/1.1 431");
+}
+
+TEST_F(HttpStreamTest, RefusedConnectionIsToldAsNotConnected) {
+  const auto client = send("a", "");
+  run();
+  EXPECT_EQ(client->failure, ClientFailure::kNotConnected);
+}
+
+TEST_F(HttpStreamTest, SurplusAnswerIsPassedOverAndItsConnectionNotUsedAgain) {
+  const std::string surplus = "HTTP/1.1 200 OK\r\nRequest-Id: old\r\nContent-Length: 3\r\n\r\nold";
+  const std::string own = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 3\r\n\r\nown";
+  const std::string other = "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 1\r\n\r\nb";
+  ScriptedServer scripted(loop_, endpoint_, {surplus + own, other});
+  const auto first = send("a", "");
+  run();
+  EXPECT_TRUE(first->complete);
+  EXPECT_EQ(first->body, "own");
+  const auto second = send("b", "");
+  run();
+  EXPECT_EQ(second->body, "b");
+  EXPECT_EQ(scripted.accepted, 2U);
+}
+
+TEST_F(HttpStreamTest, BytesBehindAnAnswerEndItsConnection) {
+  const std::string own = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 3\r\n\r\nown";
+  const std::string other = "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 1\r\n\r\nb";
+  ScriptedServer scripted(loop_, endpoint_, {own + "more", other});
+  const auto first = send("a", "");
+  run();
+  EXPECT_EQ(first->body, "own");
+  const auto second = send("b", "");
+  run();
+  EXPECT_EQ(second->body, "b");
+  EXPECT_EQ(scripted.accepted, 2U);
+}
+
+TEST_F(HttpStreamTest, AnswerWithoutTheIdIsInvalid) {
+  ScriptedServer scripted(loop_, endpoint_, {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"});
+  const auto client = send("a", "");
+  run();
+  EXPECT_EQ(client->failure, ClientFailure::kInvalidAnswer);
+}
+
+TEST_F(HttpStreamTest, ResetInsideAnAnswerIsNeverComplete) {
+  const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 9\r\n\r\nabc";
+  ScriptedServer scripted(loop_, endpoint_, {start, ""});
+  const auto client = send("a", "");
+  // The second request head makes the scripted server reset the connection.
+  loop_.post([this] { exchanges_.front()->sendBody("X\r\n\r\n"); });
+  LoopTimer later(loop_);
+  later.after(milliseconds(50), [this] {
+    exchanges_.front()->cancel();
+    loop_.stop();
+  });
+  run();
+  EXPECT_FALSE(client->complete);
+}
+
+TEST_F(HttpStreamTest, DrainingServerEndsConnectionsByAnAnswer) {
+  startEcho();
+  server_->drain();
+  const auto client = send("a", "");
+  run();
+  EXPECT_TRUE(client->complete);
+  EXPECT_EQ(pool().idle(), 0U);
+}
+
+}  // namespace
+}  // namespace ramppond
