--- /dev/null
+++ b/tests/core/local_server_test.cc
@@ -0,0 +1,76 @@
+#include "core/local_server.h"
+
+#include <gtest/gtest.h>
+
+namespace ramppond {
+namespace {
+
+constexpr Duration kDrainingAdmission = milliseconds(600);
+
+ServerHeartbeat heartbeat(const std::string& id, std::uint64_t sequence, bool draining = false) {
+  ServerHeartbeat heartbeat;
+  heartbeat.instance_id = id;
+  heartbeat.service = "desk";
+  heartbeat.slots = 10;
+  heartbeat.sequence = sequence;
+  heartbeat.draining = draining;
+  return heartbeat;
+}
+
+TEST(LocalServer, AdmitsOnlyTheInstanceThatWasHeard) {
+  LocalServer server(kDrainingAdmission);
+  EXPECT_EQ(server.admit("a", "desk", TimePoint(0)), FenceVerdict::kNoServer);
+  EXPECT_TRUE(server.onHeartbeat(heartbeat("a", 1), TimePoint(0)));
+  EXPECT_EQ(server.admit("a", "desk", TimePoint(0)), FenceVerdict::kAdmit);
+  EXPECT_EQ(server.admit("b", "desk", TimePoint(0)), FenceVerdict::kOtherInstance);
+  EXPECT_EQ(server.admit("a", "yard", TimePoint(0)), FenceVerdict::kOtherInstance);
+  EXPECT_FALSE(server.onHeartbeat(heartbeat("a", 2), TimePoint(0)));
+}
+
+TEST(LocalServer, ALeavingInstanceTakesNothingNewAfterItsTime) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(heartbeat("a", 1), TimePoint(0));
+  EXPECT_TRUE(server.onHeartbeat(heartbeat("a", 2, true), seconds(1)));
+  EXPECT_FALSE(server.onHeartbeat(heartbeat("a", 3, true), seconds(5)));
+  EXPECT_EQ(server.admit("a", "desk", seconds(1) + kDrainingAdmission), FenceVerdict::kAdmit);
+  EXPECT_EQ(server.admit("a", "desk", seconds(2)), FenceVerdict::kDraining);
+  EXPECT_EQ(server.record().state, InstanceState::kDraining);
+}
+
+TEST(LocalServer, ALateHeartbeatDoesNotTakeBackALeave) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(heartbeat("a", 4), TimePoint(0));
+  EXPECT_TRUE(server.onLeave("a", TimePoint(0)));
+  EXPECT_FALSE(server.onHeartbeat(heartbeat("a", 5), seconds(1)));
+  EXPECT_EQ(server.admit("a", "desk", seconds(2)), FenceVerdict::kDraining);
+}
+
+TEST(LocalServer, ALateHeartbeatOfAFormerInstanceChangesNothing) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(heartbeat("old", 40), TimePoint(0));
+  EXPECT_TRUE(server.onHeartbeat(heartbeat("new", 1), TimePoint(0)));
+  EXPECT_FALSE(server.onHeartbeat(heartbeat("old", 39), TimePoint(0)));
+  EXPECT_EQ(server.admit("new", "desk", TimePoint(0)), FenceVerdict::kAdmit);
+}
+
+TEST(LocalServer, AfterARestartTheLivingInstanceIsHeardAgain) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(heartbeat("new", 5), TimePoint(0));
+  server.onHeartbeat(heartbeat("old", 40), TimePoint(0));  // Late, and unknown since the restart.
+  EXPECT_TRUE(server.onHeartbeat(heartbeat("new", 6), TimePoint(0)));
+  EXPECT_FALSE(server.onHeartbeat(heartbeat("old", 40), TimePoint(0)));
+  EXPECT_EQ(server.admit("new", "desk", TimePoint(0)), FenceVerdict::kAdmit);
+}
+
+TEST(LocalServer, AWrongInstanceIsUnknownUntilItsNextHeartbeat) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(heartbeat("a", 1), TimePoint(0));
+  EXPECT_FALSE(server.onWrongInstance("b"));
+  EXPECT_TRUE(server.onWrongInstance("a"));
+  EXPECT_EQ(server.admit("a", "desk", TimePoint(0)), FenceVerdict::kNoServer);
+  EXPECT_TRUE(server.onHeartbeat(heartbeat("a", 2), TimePoint(0)));
+  EXPECT_EQ(server.admit("a", "desk", TimePoint(0)), FenceVerdict::kAdmit);
+}
+
+}  // namespace
+}  // namespace ramppond
--- /dev/null
+++ b/tests/core/proxy_session_test.cc
@@ -0,0 +1,195 @@
+// A daemon's session against control members that are cut off, restarted or behind.
+#include "core/proxy_session.h"
+
+#include <gtest/gtest.h>
+
+#include "core/cbor_codec.h"
+#include "core/control_core.h"
+
+namespace ramppond {
+namespace {
+
+ProxySession session(std::uint64_t incarnation = 10) {
+  ProxySessionOptions options;
+  options.seeds = {"10.0.0.1:1", "10.0.0.2:1"};
+  options.incarnation = incarnation;
+  return ProxySession(options);
+}
+
+ControlReply reply(std::uint64_t traffic_index, bool authoritative,
+                   const std::vector<InstanceRecord>& instances = {}) {
+  ProxyNews news;
+  news.registry_epoch = 7;
+  news.registry_counter = 1;
+  news.instances = instances;
+  if (traffic_index != 0) {
+    TrafficConfiguration traffic;
+    traffic.number = traffic_index;
+    news.traffic_index = traffic_index;
+    news.traffic = encode(traffic);
+  }
+  ControlReply reply;
+  reply.authoritative = authoritative;
+  reply.proxy_news = encode(news);
+  return reply;
+}
+
+InstanceRecord record(const std::string& address) {
+  InstanceRecord record;
+  record.daemon_address = address;
+  record.instance_id = "i";
+  record.state = InstanceState::kReady;
+  return record;
+}
+
+TEST(ProxySession, TakesAConfigurationAndNeverAnOlderOne) {
+  ProxySession proxy = session();
+  auto poll = proxy.takePoll(TimePoint(0));
+  ASSERT_TRUE(poll);
+  proxy.onReply(poll->poll_id, reply(5, true), TimePoint(0));
+  EXPECT_TRUE(proxy.takeTrafficChanged());
+  EXPECT_EQ(proxy.trafficIndex(), 5U);
+  poll = proxy.takePoll(seconds(1));
+  ASSERT_TRUE(poll);
+  proxy.onReply(poll->poll_id, reply(4, true), seconds(1));
+  EXPECT_FALSE(proxy.takeTrafficChanged());
+  EXPECT_EQ(proxy.trafficIndex(), 5U);
+}
+
+TEST(ProxySession, AnAnswerWithoutAuthorityGivesNoConfigurationAndMovesOn) {
+  ProxySession proxy = session();
+  const auto first = proxy.takePoll(TimePoint(0));
+  ASSERT_TRUE(first);
+  proxy.onReply(first->poll_id, reply(5, false, {record("10.0.0.9:1")}), TimePoint(0));
+  EXPECT_FALSE(proxy.hasTraffic());
+  EXPECT_EQ(proxy.takeInstances().size(), 1U);
+  const auto second = proxy.takePoll(seconds(1));
+  ASSERT_TRUE(second);
+  EXPECT_NE(second->address, first->address);
+}
+
+TEST(ProxySession, GoesOnAskingHoweverManyPollsFail) {
+  ProxySession proxy = session();
+  TimePoint now{0};
+  for (int failed = 0; failed < 50; ++failed) {
+    const auto poll = proxy.takePoll(now);
+    ASSERT_TRUE(poll) << failed;
+    now += poll->timeout;
+    proxy.onReply(poll->poll_id, std::nullopt, now);
+    ASSERT_TRUE(proxy.nextPoll());
+    EXPECT_LT(*proxy.nextPoll() - now, seconds(1));
+    now = *proxy.nextPoll();
+  }
+}
+
+TEST(ProxySession, AChangedServerIsToldWithoutWaitingForTheHeldPoll) {
+  ProxySession proxy = session();
+  const auto held = proxy.takePoll(TimePoint(0));
+  ASSERT_TRUE(held);
+  EXPECT_FALSE(proxy.takePoll(milliseconds(1)));
+  proxy.setOwnRecord(record("10.0.0.5:1"));
+  const auto next = proxy.takePoll(milliseconds(1));
+  ASSERT_TRUE(next);
+  const auto told = decode<ProxyPoll>(next->request.proxy_poll);
+  ASSERT_TRUE(told);
+  EXPECT_TRUE(told->has_self);
+  EXPECT_EQ(told->self.instance_id, "i");
+}
+
+TEST(ProxySession, ARecordOfAFormerProcessWithAHigherNumberIsOutdone) {
+  ProxySession proxy = session(10);
+  proxy.setOwnRecord(record("10.0.0.5:1"));
+  const auto poll = proxy.takePoll(TimePoint(0));
+  InstanceRecord former = record("10.0.0.5:1");
+  former.incarnation = 99;
+  former.revision = 3;
+  proxy.onReply(poll->poll_id, reply(5, true, {former}), TimePoint(0));
+  EXPECT_TRUE(proxy.ownRecord().isNewerThan(former));
+  EXPECT_TRUE(proxy.takeInstances().empty());
+}
+
+/// A control member that leads alone.
+class LoneMember {
+ public:
+  LoneMember() : core_(options(), RaftRecovery{}, TimePoint(0)) {
+    ControlRequest bootstrap;
+    bootstrap.type = ControlRequestType::kBootstrap;
+    core_.onRequest(1, bootstrap, now_);
+    run();
+  }
+  std::vector<ControlAnswer> ask(ControlToken token, const ControlRequest& request) {
+    core_.onRequest(token, request, now_);
+    return run();
+  }
+  std::vector<ControlAnswer> run(Duration time = milliseconds(200)) {
+    std::vector<ControlAnswer> answers;
+    for (const TimePoint end = now_ + time; now_ < end; now_ += milliseconds(10)) {
+      core_.tick(now_, 0);
+      for (ControlWork work = core_.take(now_); !work.empty(); work = core_.take(now_)) {
+        answers.insert(answers.end(), work.answers.begin(), work.answers.end());
+        core_.done(work, now_);
+      }
+    }
+    return answers;
+  }
+
+ private:
+  static ControlOptions options() {
+    ControlOptions options;
+    options.name = "one";
+    options.address = "10.0.0.1:1";
+    options.raft.id = 1;
+    options.registry_epoch = 7;
+    return options;
+  }
+  TimePoint now_{0};
+  ControlCore core_;
+};
+
+ControlRequest replaceTraffic(std::uint64_t base, std::uint64_t number) {
+  TrafficReplacement replacement;
+  replacement.base_number = base;
+  replacement.configuration.number = number;
+  replacement.document = "document " + std::to_string(number);
+  ControlRequest request;
+  request.type = ControlRequestType::kCommand;
+  request.command.type = CommandType::kReplaceTraffic;
+  request.command.traffic = encode(replacement);
+  return request;
+}
+
+TEST(ControlMember, HeldPollsAreAnsweredByAChangeAndByNewServers) {
+  LoneMember member;
+  ControlRequest request;
+  request.type = ControlRequestType::kProxyPoll;
+  ProxyPoll poll;
+  poll.registry_epoch = 7;
+  poll.hold = seconds(10);
+  request.proxy_poll = encode(poll);
+  EXPECT_TRUE(member.ask(2, request).empty());
+  const auto changed = member.ask(3, replaceTraffic(0, 4));
+  ASSERT_EQ(changed.size(), 2U);
+  ControlRequest read;
+  read.type = ControlRequestType::kReadTraffic;
+  const auto document = member.ask(4, read);
+  ASSERT_EQ(document.size(), 1U);
+  EXPECT_EQ(document.front().reply.traffic_document, "document 4");
+  poll.traffic_index = 1000;
+  request.proxy_poll = encode(poll);
+  EXPECT_TRUE(member.ask(5, request).empty());
+  ProxyPoll other = poll;
+  other.has_self = true;
+  other.self = record("10.0.0.6:1");
+  other.self.incarnation = 1;
+  other.hold = Duration(0);
+  request.proxy_poll = encode(other);
+  const auto answers = member.ask(6, request);
+  ASSERT_EQ(answers.size(), 2U);
+  const auto news = decode<ProxyNews>(answers.back().reply.proxy_news);
+  ASSERT_TRUE(news);
+  ASSERT_EQ(news->instances.size(), 1U);
+  EXPECT_EQ(news->instances.front().daemon_address, "10.0.0.6:1");
+}
+
+}  // namespace
+}  // namespace ramppond
--- /dev/null
+++ b/tests/core/server_admission_test.cc
@@ -0,0 +1,80 @@
+#include "core/server_admission.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace ramppond {
+namespace {
+
+constexpr Duration kPatience = milliseconds(100);
+
+TEST(ServerAdmission, NeverMoreUnderWayThanSlots) {
+  rc::check("under way stays within the slots, and every request ends in one way", [] {
+    const auto slots = *rc::gen::inRange<std::uint32_t>(1, 40);
+    const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4));
+    ServerAdmission admission;
+    admission.setSlots(slots);
+    AdmissionId next = 1;
+    TimePoint now{0};
+    std::size_t running = 0;
+    std::size_t waiting = 0;
+    for (const int step : steps) {
+      now += milliseconds(20);
+      if (step <= 1) {
+        const auto verdict =
+            admission.offer({next++, static_cast<std::uint32_t>(step), kPatience}, now);
+        running += verdict == AdmissionVerdict::kDispatch ? 1 : 0;
+        waiting += verdict == AdmissionVerdict::kWait ? 1 : 0;
+      } else if (step == 2 && running > 0) {
+        running -= 1;
+        admission.onFinished(milliseconds(10));
+      } else {
+        waiting -= admission.takeExpired(now).size();
+      }
+      while (admission.takeDispatchable(now)) {
+        running += 1;
+        waiting -= 1;
+      }
+      RC_ASSERT(running == admission.underWay());
+      RC_ASSERT(waiting == admission.waiting());
+      RC_ASSERT(running <= slots);
+    }
+  });
+}
+
+TEST(ServerAdmission, TheMoreUrgentGoesFirst) {
+  ServerAdmission admission;
+  admission.setSlots(1);
+  EXPECT_EQ(admission.offer({1, 2, kPatience}, TimePoint(0)), AdmissionVerdict::kDispatch);
+  EXPECT_EQ(admission.offer({2, 2, kPatience}, TimePoint(0)), AdmissionVerdict::kWait);
+  EXPECT_EQ(admission.offer({3, 0, kPatience}, TimePoint(0)), AdmissionVerdict::kWait);
+  EXPECT_EQ(admission.takeDispatchable(TimePoint(0)), std::nullopt);
+  admission.onFinished(milliseconds(5));
+  EXPECT_EQ(admission.takeDispatchable(TimePoint(0)), AdmissionId{3});
+}
+
+TEST(ServerAdmission, WhoeverWaitsTooLongIsGivenUpOnTime) {
+  ServerAdmission admission;
+  admission.setSlots(1);
+  admission.offer({1, 0, kPatience}, TimePoint(0));
+  admission.offer({2, 0, kPatience}, TimePoint(0));
+  EXPECT_EQ(admission.nextExpiry(), kPatience);
+  EXPECT_TRUE(admission.takeExpired(kPatience - Duration(1)).empty());
+  EXPECT_EQ(admission.takeExpired(kPatience), std::vector<AdmissionId>{2});
+  admission.onFinished(std::nullopt);
+  EXPECT_EQ(admission.takeDispatchable(kPatience), std::nullopt);
+}
+
+TEST(ServerAdmission, ARequestThatCannotBeServedInTimeIsRefusedAtOnce) {
+  ServerAdmission admission;
+  admission.setSlots(1);
+  for (int finished = 0; finished < 200; ++finished) {
+    admission.offer({1, 0, kPatience}, TimePoint(0));
+    admission.onFinished(seconds(1));
+  }
+  admission.offer({2, 0, kPatience}, TimePoint(0));
+  EXPECT_EQ(admission.offer({3, 0, kPatience}, TimePoint(0)), AdmissionVerdict::kRefuse);
+}
+
+}  // namespace
+}  // namespace ramppond
--- /dev/null
+++ b/tests/core/traffic_configuration_test.cc
@@ -0,0 +1,121 @@
+#include "core/traffic_configuration.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "core/cbor_codec.h"
+#include "core/traffic_state.h"
+
+namespace ramppond {
+namespace {
+
+constexpr std::int64_t kOne = 1000000;
+
+TrafficRoute route(const std::string& name, const std::string& prefix) {
+  TrafficRoute route;
+  route.name = name;
+  route.host = "forms.example";
+  route.path_prefix = prefix;
+  route.timeout = seconds(5);
+  route.goal = seconds(1);
+  route.split = {{"desk", kOne}};
+  return route;
+}
+
+TrafficConfiguration configuration(std::uint64_t number) {
+  TrafficConfiguration configuration;
+  configuration.number = number;
+  configuration.services = {{"desk", "/health", 10}, {"yard", "/health", 10}};
+  configuration.routes = {route("short", "/a/"), route("long", "/a/b/")};
+  return configuration;
+}
+
+TrafficReplacement replacement(std::uint64_t base, std::uint64_t number,
+                               const std::string& document) {
+  return {base, configuration(number), document};
+}
+
+TEST(TrafficRoutes, TheLongestPrefixOfTheHostWins) {
+  const TrafficConfiguration traffic = configuration(1);
+  const TrafficRoutes routes(traffic);
+  EXPECT_EQ(routes.match("forms.example", "/a/b/c")->name, "long");
+  EXPECT_EQ(routes.match("FORMS.example:80", "/a/x?y=/a/b/")->name, "short");
+  EXPECT_EQ(routes.match("forms.example", "/a"), nullptr);
+  EXPECT_EQ(routes.match("other.example", "/a/b/c"), nullptr);
+  EXPECT_EQ(routes.match("", "/a/b/c"), nullptr);
+}
+
+TEST(TrafficRoutes, SplitsFollowTheirWeights) {
+  TrafficRoute split = route("split", "/a/");
+  split.split = {{"desk", 3 * kOne}, {"none", 0}, {"yard", kOne}};
+  EXPECT_EQ(chooseService(split, 0.0), "desk");
+  EXPECT_EQ(chooseService(split, 0.74), "desk");
+  EXPECT_EQ(chooseService(split, 0.76), "yard");
+  EXPECT_EQ(chooseService(split, 0.9999999), "yard");
+}
+
+TEST(TrafficValidation, EveryDefectIsNamed) {
+  EXPECT_EQ(validateTraffic(configuration(1)), std::nullopt);
+  const auto broken = [](const std::function<void(TrafficRoute&)>& change) {
+    TrafficConfiguration bad = configuration(1);
+    change(bad.routes.front());
+    return validateTraffic(bad).value_or("");
+  };
+  EXPECT_NE(broken([](TrafficRoute& bad) { bad.split.front().service = "gone"; }).find("gone"),
+            std::string::npos);
+  EXPECT_NE(broken([](TrafficRoute& bad) { bad.split.front().weight_millionths = 0; }), "");
+  EXPECT_NE(broken([](TrafficRoute& bad) { bad.split.push_back({"yard", -1}); }), "");
+  EXPECT_NE(broken([](TrafficRoute& bad) { bad.split.clear(); }), "");
+  EXPECT_NE(broken([](TrafficRoute& bad) { bad.timeout = std::chrono::minutes(11); }), "");
+  EXPECT_NE(broken([](TrafficRoute& bad) { bad.timeout = Duration(0); }), "");
+  EXPECT_NE(broken([](TrafficRoute& bad) { bad.goal = bad.timeout + std::chrono::minutes(1); }),
+            "");
+  EXPECT_NE(broken([](TrafficRoute& bad) { bad.host.clear(); }), "");
+  EXPECT_NE(broken([](TrafficRoute& bad) { bad.path_prefix = "a/"; }), "");
+}
+
+TEST(TrafficState, OfTwoOnOneBaseOneWins) {
+  TrafficState state;
+  EXPECT_EQ(state.apply(replacement(0, 2, "first"), 5).error, ErrorKind::kNone);
+  EXPECT_EQ(state.apply(replacement(0, 2, "second"), 6).error, ErrorKind::kVersionConflict);
+  EXPECT_EQ(state.document(), "first");
+  EXPECT_EQ(state.logIndex(), 5U);
+}
+
+TEST(TrafficState, ARepeatedReplacementIsTakenAgainAlsoAfterLaterOnes) {
+  TrafficState state;
+  EXPECT_EQ(state.apply(replacement(0, 2, "first"), 5).error, ErrorKind::kNone);
+  EXPECT_EQ(state.apply(replacement(2, 4, "second"), 6).error, ErrorKind::kNone);
+  EXPECT_EQ(state.apply(replacement(0, 2, "first"), 7).error, ErrorKind::kNone);
+  EXPECT_EQ(state.document(), "second");
+  EXPECT_EQ(state.logIndex(), 6U);
+}
+
+TEST(TrafficState, NumbersOnlyRiseAndInvalidOnesChangeNothing) {
+  TrafficState state;
+  EXPECT_EQ(state.apply(replacement(0, 2, "first"), 5).error, ErrorKind::kNone);
+  EXPECT_EQ(state.apply(replacement(2, 2, "same"), 6).error, ErrorKind::kMalformedRequest);
+  EXPECT_EQ(state.apply(replacement(2, 1, "older"), 7).error, ErrorKind::kMalformedRequest);
+  TrafficReplacement invalid = replacement(2, 3, "invalid");
+  invalid.configuration.routes.front().host.clear();
+  EXPECT_EQ(state.apply(invalid, 8).error, ErrorKind::kMalformedRequest);
+  EXPECT_EQ(state.configuration().number, 2U);
+}
+
+TEST(TrafficState, ASnapshotKeepsAllOfIt) {
+  TrafficState state;
+  state.apply(replacement(0, 2, "first"), 5);
+  state.apply(replacement(2, 4, "second"), 6);
+  const auto decoded = decode<TrafficSnapshot>(encode(state.snapshot()));
+  ASSERT_TRUE(decoded);
+  TrafficState restored;
+  restored.restore(*decoded);
+  EXPECT_EQ(restored.document(), "second");
+  EXPECT_EQ(restored.logIndex(), 6U);
+  EXPECT_EQ(restored.apply(replacement(0, 2, "first"), 9).error, ErrorKind::kNone);
+  EXPECT_EQ(restored.configuration().number, 4U);
+}
+
+}  // namespace
+}  // namespace ramppond
--- /dev/null
+++ b/tests/platform/platform_api_test.cc
@@ -0,0 +1,127 @@
+// The adapter's formats, and that no name of the platform stands outside the adapter.
+#include "platform/platform_api.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "core/traffic_configuration.h"
+
+namespace ramppond::platform {
+namespace {
+
+const char kDocument[] = R"({"version":"0000000c","resources":[
+  {"type":"routes","meta":{"name":"r-1"},"spec":{"host":"a.example","path_prefix":"/x/",
+   "kind":"unsafe","timeout_s":6,"goal_s":1.5,"priority":2,"max_attempts":2,
+   "split":[{"service":"s1","weight":90},{"service":"s2","weight":10.5}]}},
+  {"type":"routes","meta":{"name":"r-2"},"spec":{"host":"a.example","path_prefix":"/y/",
+   "kind":"download","timeout_s":0.8,"goal_s":0.25,"service":"s1"}},
+  {"type":"services","meta":{"name":"s1"},"spec":{"health_path":"/health","max_conns":622}},
+  {"type":"services","meta":{"name":"s2"},"spec":{"health_path":"/health","max_conns":622}},
+  {"type":"unheard-of","meta":{"name":"z"},"spec":{}},
+  {"type":"limits","meta":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,
+   "header_timeout_s":3,"idle_timeout_s":15}}]})";
+
+TEST(PlatformApi, ReadsAConfiguration) {
+  const PlatformApi api;
+  const auto parsed = api.parseReplacement("00000005", kDocument);
+  ASSERT_TRUE(parsed.value) << parsed.error;
+  const TrafficReplacement& replacement = *parsed.value;
+  EXPECT_EQ(replacement.base_number, 5U);
+  EXPECT_EQ(replacement.document, kDocument);
+  const TrafficConfiguration& configuration = replacement.configuration;
+  EXPECT_EQ(configuration.number, 12U);
+  ASSERT_EQ(configuration.routes.size(), 2U);
+  EXPECT_EQ(configuration.routes[0].kind, RequestKind::kUnsafe);
+  EXPECT_EQ(configuration.routes[0].goal, milliseconds(1500));
+  EXPECT_EQ(configuration.routes[0].split[1].weight_millionths, 10500000);
+  EXPECT_EQ(configuration.routes[1].kind, RequestKind::kDownload);
+  EXPECT_EQ(configuration.routes[1].timeout, milliseconds(800));
+  EXPECT_EQ(configuration.services.size(), 2U);
+  EXPECT_EQ(configuration.limits.idle_timeout, seconds(15));
+  EXPECT_EQ(validateTraffic(configuration), std::nullopt);
+}
+
+TEST(PlatformApi, SaysWhatIsWrongWithADocument) {
+  const PlatformApi api;
+  const auto error = [&](const std::string& body) { return api.parseReplacement("", body).error; };
+  EXPECT_NE(error(""), "");
+  EXPECT_NE(error(std::string(kDocument).substr(0, 200)), "");
+  EXPECT_NE(error("[]"), "");
+  EXPECT_NE(error(R"({"version":"xyz","resources":[]})"), "");
+  EXPECT_NE(error(R"({"version":7,"resources":[]})"), "");
+  EXPECT_NE(error(R"({"version":"7","resources":{}})"), "");
+  EXPECT_EQ(error(R"({"version":"7","resources":[{"type":"routes","meta":{"name":"r"},"spec":{
+      "host":"a","path_prefix":"/","kind":"odd","timeout_s":1,"service":"s"}}]})"),
+            "route 'r': kind: expected safe, unsafe or download");
+  EXPECT_EQ(error(R"({"version":"7","resources":[{"type":"routes","meta":{"name":"r"},"spec":{
+      "host":"a","path_prefix":"/","kind":"safe","timeout_s":"1","service":"s"}}]})"),
+            "route 'r': timeout_s: expected a number");
+  EXPECT_NE(api.parseReplacement("zz", kDocument).error, "");
+}
+
+TEST(PlatformApi, ReadsAHeartbeat) {
+  const PlatformApi api;
+  const auto parsed = api.parseHeartbeat(
+      "i-1", R"({"address":"10.0.0.9:8080","info":{"service":"s1","version":"v1","zone":"z",
+      "slots":87},"status":{"state":"draining","seq":4,"cold_left_s":1.5}})");
+  ASSERT_TRUE(parsed.value) << parsed.error;
+  EXPECT_EQ(parsed.value->instance_id, "i-1");
+  EXPECT_EQ(parsed.value->slots, 87U);
+  EXPECT_TRUE(parsed.value->draining);
+  EXPECT_EQ(parsed.value->sequence, 4U);
+  EXPECT_EQ(parsed.value->cold_left, milliseconds(1500));
+  EXPECT_FALSE(api.parseHeartbeat("i-1", "{}").value);
+  EXPECT_FALSE(api.parseHeartbeat("i-1", "not json").value);
+}
+
+TEST(PlatformApi, TellsCallsApart) {
+  const PlatformApi api;
+  EXPECT_EQ(api.classify("GET", "/api/ready?x").type, ExternalCallType::kReadiness);
+  const ExternalCall beat = api.classify("POST", "/api/instances/i-1/heartbeat");
+  EXPECT_EQ(beat.type, ExternalCallType::kHeartbeat);
+  EXPECT_EQ(beat.instance_id, "i-1");
+  EXPECT_EQ(api.classify("POST", "/api/instances/i-1/leave").type, ExternalCallType::kLeave);
+  EXPECT_EQ(api.classify("POST", "/api/config/put").type, ExternalCallType::kReplaceTraffic);
+  EXPECT_EQ(api.classify("GET", "/api/config/get").type, ExternalCallType::kReadTraffic);
+  EXPECT_EQ(api.classify("DELETE", "/api/config/get").type, ExternalCallType::kUnknown);
+  EXPECT_EQ(api.classify("POST", "/elsewhere").type, ExternalCallType::kUnknown);
+}
+
+// Whether `name` occurs other than as the end of a longer name, such as a header of our own.
+bool standsIn(const std::string& text, const std::string& name) {
+  for (std::size_t at = text.find(name); at != std::string::npos; at = text.find(name, at + 1)) {
+    if (at == 0 || text[at - 1] != '-') {
+      return true;
+    }
+  }
+  return false;
+}
+
+TEST(PlatformNames, StandNowhereElse) {
+  const std::vector<std::string> names = {
+      "Deadline-Ms", "Caller-Service",  "Expect-Instance",   "Server-Stamp", "Base-Version",
+      "/api/ready",  "/api/instances",  "/api/config",       "timeout_s",    "goal_s",
+      "cold_left_s", "drain_timeout_s", "RAMPPOND_NODE_FILE"};
+  const std::vector<std::string> folders = {"core",    "common", "storage", "net", "daemon",
+                                            "control", "cli",    "lab",     "spec"};
+  for (const std::string& folder : folders) {
+    const std::filesystem::path root = std::filesystem::path(RAMPPOND_SOURCE_FOLDER) / folder;
+    for (const auto& entry : std::filesystem::recursive_directory_iterator(root)) {
+      if (!entry.is_regular_file()) {
+        continue;
+      }
+      std::ifstream file(entry.path());
+      std::stringstream text;
+      text << file.rdbuf();
+      for (const std::string& name : names) {
+        EXPECT_FALSE(standsIn(text.str(), name)) << name << " in " << entry.path();
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace ramppond::platform
