A stopping daemon stays the last resort; a late refusal no longer takes a server out for good

A refusal ('fenced') that overtook the newer record would also have taken a server out until its next change. Ruled out: lost registry news (the records were right). Change: state 'stopping' (chosen only when no other is left, for 1.2 s), end after 2.1 s in place of 2.5, fences expire after 1 s.

--- a/common/event_log.cc
+++ b/common/event_log.cc
@@ -50,6 +50,26 @@
   }
 }
 
+bool DecisionLimit::allow(std::int64_t time_us) {
+  constexpr std::int64_t kMicrosecondsPerSecond = 1000000;
+  const std::int64_t second = time_us / kMicrosecondsPerSecond;
+  if (second != second_) {
+    second_ = second;
+    written_ = 0;
+    if (suppressed_ > 0) {
+      logEvent(time_us, "suppressed",
+               {{"of", std::string(event_)}, {"lines", std::to_string(suppressed_)}});
+      suppressed_ = 0;
+    }
+  }
+  if (written_ >= lines_per_second_) {
+    suppressed_ += 1;
+    return false;
+  }
+  written_ += 1;
+  return true;
+}
+
 std::uint64_t droppedEventLines() {
   return dropped_lines;
 }
--- a/core/instance_directory.cc
+++ b/core/instance_directory.cc
@@ -9,6 +9,7 @@
 // zones cost, and a queue is still unlikely.
 constexpr double kOwnZoneUtilization = 0.75;
 constexpr Duration kRefusalRemembered = milliseconds(100);
+constexpr Duration kFenceRemembered = milliseconds(1000);
 constexpr Duration kFirstUnreachable = milliseconds(200);
 constexpr std::uint32_t kMaximumDoublings = 4;
 // Without word from its daemon a server is taken to have this many slots usable.
@@ -32,14 +33,17 @@
     known.load = ServerLoad{};
     known.refused_until = TimePoint(0);
   }
+  known.fenced_until = TimePoint(0);
   known.failures = 0;
   known.unreachable_until = TimePoint(0);
   known.record = record;
 }
 
 bool InstanceDirectory::usable(const KnownInstance& instance, const std::string& service,
-                               const std::set<std::string>& excluded) const {
-  return instance.record.state == InstanceState::kReady && instance.record.service == service &&
+                               const std::set<std::string>& excluded, TimePoint now) const {
+  const bool open = instance.record.state == InstanceState::kReady ||
+                    instance.record.state == InstanceState::kStopping;
+  return open && instance.fenced_until <= now && instance.record.service == service &&
          excluded.count(instance.record.daemon_address) == 0;
 }
 
@@ -65,7 +69,7 @@
   double best_score = 0;
   for (const std::string& daemon : found->second) {
     KnownInstance& instance = by_daemon_.at(daemon);
-    if (!usable(instance, service, excluded)) {
+    if (!usable(instance, service, excluded, now)) {
       continue;
     }
     double score = utilization(instance);
@@ -75,6 +79,7 @@
     }
     score += instance.refused_until > now ? 10 : 0;
     score += instance.unreachable_until > now ? 100 : 0;
+    score += instance.record.state == InstanceState::kStopping ? 50 : 0;
     score += random_.uniform() * 0.02;  // Equals are taken in turn.
     if (best == nullptr || score < best_score) {
       best = &instance;
@@ -114,8 +119,8 @@
   instance.unreachable_until = TimePoint(0);
 }
 
-void InstanceDirectory::onFenced(KnownInstance& instance) {
-  instance.record.state = InstanceState::kDraining;
+void InstanceDirectory::onFenced(KnownInstance& instance, TimePoint now) {
+  instance.fenced_until = now + kFenceRemembered;
 }
 
 }  // namespace ramppond
--- a/core/instance_directory.h
+++ b/core/instance_directory.h
@@ -35,6 +35,7 @@
   std::uint32_t failures = 0;    ///< Connections that failed in a row.
   TimePoint unreachable_until{0};
   TimePoint refused_until{0};  ///< It refused lately; others are asked first.
+  TimePoint fenced_until{0};   ///< It said that it takes nothing more.
 };
 
 struct InstanceDirectoryOptions {
@@ -58,13 +59,14 @@
   void onRefused(KnownInstance& instance, TimePoint now);
   void onUnreachable(KnownInstance& instance, TimePoint now);
   void onReached(KnownInstance& instance);
-  /// The daemon said that this instance takes nothing more: not chosen until a newer record comes.
-  void onFenced(KnownInstance& instance);
+  /// The daemon said that this instance takes nothing more. Passed over until a newer record comes
+  /// or some time has passed: what was said may be older than the record that is held.
+  void onFenced(KnownInstance& instance, TimePoint now);
 
  private:
   [[nodiscard]] double utilization(const KnownInstance& instance) const;
   [[nodiscard]] bool usable(const KnownInstance& instance, const std::string& service,
-                            const std::set<std::string>& excluded) const;
+                            const std::set<std::string>& excluded, TimePoint now) const;
 
   InstanceDirectoryOptions options_;
   Random random_;
--- a/core/instance_registry.h
+++ b/core/instance_registry.h
@@ -19,6 +19,8 @@
   kNone = 0,      ///< The daemon knows of no server beside it, or the server is gone.
   kReady = 1,     ///< Takes requests.
   kDraining = 2,  ///< Is leaving: takes no new requests.
+  kStopping =
+      3,  ///< The server stays, but its daemon is being stopped: only when no other is left.
 };
 
 /// A daemon's word on the server beside it.
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -150,6 +150,13 @@
   arrivals_ += end == AttemptEnd::kNotSent ? 0 : 1;
   run_possible_ = run_possible_ || end == AttemptEnd::kUnknown;
   if (mayRepeat(end)) {
+    const TimePoint now = EventLoop::now();
+    if (context_.repeats.allow(now.count())) {
+      logEvent(now.count(), context_.repeats.event(),
+               {{"request", exchange_->request().get(context_.api.headers().request_id)},
+                {"service", service_},
+                {"after", reason}});
+    }
     attempt();
     return;
   }
@@ -250,7 +257,7 @@
     context_.directory.onRefused(*instance_, EventLoop::now());
   } else if (kind == kOutcomeFenced) {
     own_answer_end_ = AttemptEnd::kNotSent;
-    context_.directory.onFenced(*instance_);
+    context_.directory.onFenced(*instance_, EventLoop::now());
   } else if (kind == kOutcomeNotRun) {
     own_answer_end_ = AttemptEnd::kNotRun;
   } else {
@@ -363,13 +370,34 @@
   return std::to_string(thousandths / 1000) + "." + digits;
 }
 
+void ForwardedRequest::logOwnAnswer(int status, const std::string& reason,
+                                    const std::string& last_peer) {
+  const TimePoint now = EventLoop::now();
+  if (!context_.own_answers.allow(now.count())) {
+    return;
+  }
+  logEvent(now.count(), context_.own_answers.event(),
+           {{"request", exchange_->request().get(context_.api.headers().request_id)},
+            {"status", std::to_string(status)},
+            {"reason", reason},
+            {"route", route_ == nullptr ? "" : route_->name},
+            {"service", service_},
+            {"held_us", std::to_string((now - received_).count())},
+            {"left_us", std::to_string((deadline_ - now).count())},
+            {"attempts", std::to_string(tried_.size())},
+            {"arrivals", std::to_string(arrivals_)},
+            {"peer", last_peer}});
+}
+
 void ForwardedRequest::answerOwn(int status, const std::string& reason, bool retry_after) {
   over_ = true;
   deadline_timer_.cancel();
   if (upstream_ != nullptr) {
     upstream_->cancel();
   }
+  const std::string last = instance_ == nullptr ? std::string() : instance_->record.daemon_address;
   endAttempt();
+  logOwnAnswer(status, reason, last);
   if (status == kUnavailable) {
     context_.counters.refused += 1;
   } else if (status >= kBadGateway) {
--- a/daemon/proxy/forwarded_request.h
+++ b/daemon/proxy/forwarded_request.h
@@ -48,6 +48,7 @@
   void onDeadline();
   void readOutcome(const HttpHead& head);
   void releaseAnswer();
+  void logOwnAnswer(int status, const std::string& reason, const std::string& last_peer);
   void answerOwn(int status, const std::string& reason, bool retry_after);
   void finish();
   [[nodiscard]] Duration timeLeft() const { return deadline_ - EventLoop::now(); }
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -64,12 +64,12 @@
 
 bool InboundRequest::refuseIfFenced() {
   const FenceVerdict verdict = context_.server.admit(instance_id_, service_, EventLoop::now());
-  if (verdict == FenceVerdict::kAdmit) {
+  if (verdict == FenceVerdict::kAdmit && !context_.refuse_peers) {
     return false;
   }
   context_.counters.inbound_fenced += 1;
-  refuse(kOutcomeFenced, verdict == FenceVerdict::kDraining ? "draining" : "other instance",
-         kUnavailable);
+  const bool leaving = verdict == FenceVerdict::kDraining || context_.refuse_peers;
+  refuse(kOutcomeFenced, leaving ? "draining" : "other instance", kUnavailable);
   return true;
 }
 
@@ -129,6 +129,16 @@
   }
   head.fields.push_back({std::string(kPeerOutcome), std::string(outcome) + ";" + reason});
   head.fields.push_back({std::string(kPeerLoad), formatLoad(context_.serverLoad())});
+  const TimePoint now = EventLoop::now();
+  if (context_.refusals.allow(now.count())) {
+    logEvent(now.count(), context_.refusals.event(),
+             {{"request", exchange_->request().get(id_header)},
+              {"outcome", std::string(outcome)},
+              {"reason", reason},
+              {"instance", instance_id_},
+              {"held_us", std::to_string((now - received_).count())},
+              {"load", formatLoad(context_.serverLoad())}});
+  }
   const auto exchange = exchange_;
   done();
   exchange->respond(std::move(head), "");
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "common/event_log.h"
 #include "core/external_api.h"
 #include "core/instance_directory.h"
 #include "core/local_server.h"
@@ -76,7 +77,11 @@
   AdmissionId next_admission_id = 1;
   LoopTimer admission_timer;
   std::function<void()> on_server_changed;
+  bool refuse_peers = false;  ///< This daemon ends soon: nothing new may begin at its server.
   ProxyCounters counters;
+  DecisionLimit own_answers{"own_answer"};    ///< Answers made here in place of a server's.
+  DecisionLimit repeats{"repeat"};            ///< Further attempts of a request.
+  DecisionLimit refusals{"inbound_refused"};  ///< Requests of peers that were not run here.
 };
 
 }  // namespace ramppond
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -17,7 +17,10 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 // Clients stop sending after they were told twice, a second apart, that this daemon is not ready.
-constexpr Duration kLeastStopTime = milliseconds(2500);
+constexpr Duration kLeastStopTime = milliseconds(2100);
+// Until then peers that know no other server may still send requests; what was begun must end
+// before this daemon does.
+constexpr Duration kPeersServedWhileStopping = milliseconds(1200);
 constexpr Duration kStopCheckInterval = milliseconds(100);
 // The end comes this long before the platform would enforce it.
 constexpr Duration kStopMargin = milliseconds(300);
@@ -185,7 +188,7 @@
   record.daemon_address = context_.settings.peer_address.toString();
   record.zone = context_.settings.zone;
   if (stopping_ && record.state == InstanceState::kReady) {
-    record.state = InstanceState::kDraining;
+    record.state = InstanceState::kStopping;
   }
   session_.setOwnRecord(record);
   context_.directory.offer(session_.ownRecord());
@@ -262,6 +265,7 @@
 
 void ProxyProcess::stopWhenIdle() {
   const Duration elapsed = EventLoop::now() - stopping_since_;
+  context_.refuse_peers = elapsed >= kPeersServedWhileStopping;
   const bool idle = clients_.underWay() == 0 && peers_.underWay() == 0;
   if ((idle && elapsed >= kLeastStopTime) || elapsed >= context_.bounds.grace - kStopMargin) {
     logCounters();
--- /dev/null
+++ b/tests/core/instance_directory_test.cc
@@ -0,0 +1,96 @@
+#include "core/instance_directory.h"
+
+#include <gtest/gtest.h>
+
+namespace ramppond {
+namespace {
+
+InstanceRecord record(const std::string& daemon, const std::string& zone,
+                      InstanceState state = InstanceState::kReady, std::uint64_t revision = 1) {
+  InstanceRecord record;
+  record.daemon_address = daemon;
+  record.incarnation = 1;
+  record.revision = revision;
+  record.zone = zone;
+  record.instance_id = "i-" + daemon;
+  record.service = "desk";
+  record.slots = 10;
+  record.state = state;
+  return record;
+}
+
+class InstanceDirectoryTest : public testing::Test {
+ protected:
+  std::string choose(const std::set<std::string>& excluded = {}) {
+    const KnownInstance* chosen = directory_.choose("desk", excluded, now_);
+    return chosen == nullptr ? "" : chosen->record.daemon_address;
+  }
+  KnownInstance& find(const std::string& daemon) {
+    std::set<std::string> others = {"near", "far", "other"};
+    others.erase(daemon);
+    return *directory_.choose("desk", others, now_);
+  }
+  InstanceDirectory directory_{{"zone-a", 1}};
+  TimePoint now_ = seconds(10);
+};
+
+TEST_F(InstanceDirectoryTest, TheOwnZoneIsTakenWhileItHasRoom) {
+  directory_.offer(record("far", "zone-b"));
+  directory_.offer(record("near", "zone-a"));
+  EXPECT_EQ(choose(), "near");
+  directory_.onLoad(find("near"), {10, 9, 0, milliseconds(10)}, now_);
+  directory_.onLoad(find("far"), {10, 1, 0, milliseconds(10)}, now_);
+  EXPECT_EQ(choose(), "far");
+  EXPECT_EQ(choose({"far"}), "near");
+  EXPECT_EQ(choose({"far", "near"}), "");
+}
+
+TEST_F(InstanceDirectoryTest, LeavingServersAndOtherServicesAreNeverChosen) {
+  directory_.offer(record("near", "zone-a", InstanceState::kDraining));
+  InstanceRecord other = record("far", "zone-b");
+  other.service = "yard";
+  directory_.offer(other);
+  EXPECT_EQ(choose(), "");
+  other.service = "desk";
+  other.revision = 2;
+  directory_.offer(other);
+  EXPECT_EQ(choose(), "far");
+}
+
+TEST_F(InstanceDirectoryTest, AServerWhoseDaemonStopsIsTheLastResort) {
+  directory_.offer(record("near", "zone-a", InstanceState::kStopping));
+  EXPECT_EQ(choose(), "near");
+  directory_.offer(record("far", "zone-b"));
+  EXPECT_EQ(choose(), "far");
+}
+
+// Found on the bench: a refusal that arrived after the newer record took the server out for good.
+TEST_F(InstanceDirectoryTest, ALateRefusalDoesNotTakeAServerOutForGood) {
+  directory_.offer(record("near", "zone-a", InstanceState::kReady, 5));
+  directory_.onFenced(find("near"), now_);
+  EXPECT_EQ(choose(), "");
+  now_ += seconds(2);
+  EXPECT_EQ(choose(), "near");
+  directory_.onFenced(find("near"), now_);
+  directory_.offer(record("near", "zone-a", InstanceState::kReady, 6));
+  EXPECT_EQ(choose(), "near");
+}
+
+TEST_F(InstanceDirectoryTest, UnreachableServersComeLastAndComeBack) {
+  directory_.offer(record("near", "zone-a"));
+  directory_.offer(record("far", "zone-b"));
+  directory_.onUnreachable(find("near"), now_);
+  EXPECT_EQ(choose(), "far");
+  EXPECT_EQ(choose({"far"}), "near");
+  directory_.onReached(find("near"));
+  EXPECT_EQ(choose(), "near");
+}
+
+TEST_F(InstanceDirectoryTest, OlderRecordsAreNotTaken) {
+  directory_.offer(record("near", "zone-a", InstanceState::kDraining, 7));
+  directory_.offer(record("near", "zone-a", InstanceState::kReady, 6));
+  EXPECT_EQ(choose(), "");
+}
+
+}  // namespace
+}  // namespace ramppond
