Choice of server by cost: utilization times slowness, rebate for the own zone

Ruled out: health checks (priced, and a slow server is healthy). Its daemon now tells the mean age of what is under way when that exceeds the smoothed service time.

--- a/core/instance_directory.cc
+++ b/core/instance_directory.cc
@@ -5,9 +5,20 @@
 namespace ramppond {
 namespace {
 
-// Below this utilization a server of the own zone is taken without looking further: bytes between
-// zones cost, and a queue is still unlikely.
-constexpr double kOwnZoneUtilization = 0.75;
+// What an idle server costs against a full one: the weight of speed and zone at low load.
+constexpr double kIdleCost = 0.3;
+// The own zone is left when another server costs less than this part of it.
+constexpr double kOwnZoneRebate = 0.6;
+// Servers of one service differ by this much in speed on an ordinary day; what is slower than that
+// is slow for a reason.
+constexpr double kOrdinarySpeedRatio = 2.5;
+constexpr Duration kLoadRemembered = seconds(2);
+// These set an order among servers that are all unfit in some way.
+constexpr double kRefusedCost = 10;
+constexpr double kStoppingCost = 50;
+constexpr double kUnreachableCost = 100;
+// Equals are taken in turn.
+constexpr double kTieBreak = 0.02;
 constexpr Duration kRefusalRemembered = milliseconds(100);
 constexpr Duration kFenceRemembered = milliseconds(1000);
 constexpr Duration kFirstUnreachable = milliseconds(200);
@@ -52,38 +63,58 @@
   return found != by_service_.end() && !found->second.empty();
 }
 
-double InstanceDirectory::utilization(const KnownInstance& instance) const {
+double InstanceDirectory::utilization(const KnownInstance& instance) {
   const double told = instance.load.limit;
   const double limit = told > 0 ? told : std::max<double>(instance.record.slots, kAssumedLimit);
   const double busy = instance.load.under_way + instance.load.waiting + instance.sent_since;
   return (std::max<double>(busy, instance.sent) + 1) / limit;
 }
 
+// Nothing once it is old: a server that was slow gets a request again and tells how it does now.
+std::optional<Duration> InstanceDirectory::recentServiceTime(const KnownInstance& instance,
+                                                             TimePoint now) {
+  const bool recent = instance.load.limit > 0 && now - instance.load_told < kLoadRemembered;
+  return recent ? std::optional<Duration>(instance.load.service_time) : std::nullopt;
+}
+
+double InstanceDirectory::cost(const KnownInstance& instance, Duration fastest, TimePoint now) {
+  const auto service_time = recentServiceTime(instance, now);
+  double slowness = 1;
+  if (service_time && fastest > Duration(0)) {
+    const double ratio =
+        static_cast<double>(service_time->count()) / static_cast<double>(fastest.count());
+    slowness = std::max(1.0, ratio / kOrdinarySpeedRatio);
+  }
+  double cost = slowness * (kIdleCost + utilization(instance));
+  cost *= instance.record.zone == options_.zone ? kOwnZoneRebate : 1.0;
+  cost += instance.refused_until > now ? kRefusedCost : 0;
+  cost += instance.record.state == InstanceState::kStopping ? kStoppingCost : 0;
+  cost += instance.unreachable_until > now ? kUnreachableCost : 0;
+  return cost + random_.uniform() * kTieBreak;
+}
+
 KnownInstance* InstanceDirectory::choose(const std::string& service,
                                          const std::set<std::string>& excluded, TimePoint now) {
   const auto found = by_service_.find(service);
   if (found == by_service_.end()) {
     return nullptr;
   }
-  KnownInstance* best = nullptr;
-  double best_score = 0;
+  std::vector<KnownInstance*> candidates;
+  Duration fastest = Duration::max();
   for (const std::string& daemon : found->second) {
     KnownInstance& instance = by_daemon_.at(daemon);
-    if (!usable(instance, service, excluded, now)) {
-      continue;
-    }
-    double score = utilization(instance);
-    const bool near = instance.record.zone == options_.zone;
-    if (near && score < kOwnZoneUtilization) {
-      score -= 1;
+    if (usable(instance, service, excluded, now)) {
+      candidates.push_back(&instance);
+      fastest = std::min(fastest, recentServiceTime(instance, now).value_or(fastest));
     }
-    score += instance.refused_until > now ? 10 : 0;
-    score += instance.unreachable_until > now ? 100 : 0;
-    score += instance.record.state == InstanceState::kStopping ? 50 : 0;
-    score += random_.uniform() * 0.02;  // Equals are taken in turn.
-    if (best == nullptr || score < best_score) {
-      best = &instance;
-      best_score = score;
+  }
+  KnownInstance* best = nullptr;
+  double best_cost = 0;
+  for (KnownInstance* candidate : candidates) {
+    const double candidate_cost = cost(*candidate, fastest, now);
+    if (best == nullptr || candidate_cost < best_cost) {
+      best = candidate;
+      best_cost = candidate_cost;
     }
   }
   return best;
--- a/core/instance_directory.h
+++ b/core/instance_directory.h
@@ -1,12 +1,14 @@
 // The servers that a daemon may send requests to, and the choice among them.
 //
 // Knows what the registry tells, what answers tell of each server's load, and which daemons could
-// not be reached. A choice prefers the own zone while its server has room; otherwise it takes the
-// least loaded of all. Pure, not thread safe.
+// not be reached. Each server has a cost that grows with its utilization and, beyond the ordinary
+// difference in speed, with its service time; the own zone has a rebate, since bytes between zones
+// cost. The cheapest is taken. Pure, not thread safe.
 #pragma once
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -64,7 +66,10 @@
   void onFenced(KnownInstance& instance, TimePoint now);
 
  private:
-  [[nodiscard]] double utilization(const KnownInstance& instance) const;
+  [[nodiscard]] static double utilization(const KnownInstance& instance);
+  [[nodiscard]] static std::optional<Duration> recentServiceTime(const KnownInstance& instance,
+                                                                 TimePoint now);
+  double cost(const KnownInstance& instance, Duration fastest, TimePoint now);
   [[nodiscard]] bool usable(const KnownInstance& instance, const std::string& service,
                             const std::set<std::string>& excluded, TimePoint now) const;
 
--- a/core/server_admission.cc
+++ b/core/server_admission.cc
@@ -33,6 +33,7 @@
 AdmissionVerdict ServerAdmission::offer(const AdmissionRequest& request, TimePoint now) {
   if (under_way_ < limit_ && waiting_.empty()) {
     under_way_ += 1;
+    begun_sum_ += now;
     counters_.dispatched += 1;
     return AdmissionVerdict::kDispatch;
   }
@@ -49,11 +50,22 @@
   return AdmissionVerdict::kWait;
 }
 
-void ServerAdmission::onFinished(std::optional<Duration> service_time) {
-  under_way_ -= under_way_ > 0 ? 1 : 0;
-  if (service_time) {
-    service_time_ += (*service_time - service_time_) / kSmoothing;
+void ServerAdmission::onFinished(TimePoint begun, bool answered, TimePoint now) {
+  if (under_way_ == 0) {
+    return;
+  }
+  under_way_ -= 1;
+  begun_sum_ -= begun;
+  if (answered) {
+    service_time_ += (now - begun - service_time_) / kSmoothing;
+  }
+}
+
+Duration ServerAdmission::serviceTime(TimePoint now) const {
+  if (under_way_ == 0) {
+    return service_time_;
   }
+  return std::max(service_time_, now - begun_sum_ / static_cast<std::int64_t>(under_way_));
 }
 
 void ServerAdmission::withdraw(AdmissionId id) {
@@ -77,6 +89,7 @@
     positions_.erase(id);
     waiting_.erase(position);
     under_way_ += 1;
+    begun_sum_ += now;
     counters_.dispatched += 1;
     return id;
   }
--- a/core/server_admission.h
+++ b/core/server_admission.h
@@ -39,8 +39,8 @@
   /// `slots` as the server tells; 0 for unknown.
   void setSlots(std::uint32_t slots);
   AdmissionVerdict offer(const AdmissionRequest& request, TimePoint now);
-  /// A dispatched request has ended. `service_time` if the server answered it.
-  void onFinished(std::optional<Duration> service_time);
+  /// A request that was dispatched at `begun` has ended; `answered` if the server answered it.
+  void onFinished(TimePoint begun, bool answered, TimePoint now);
   /// A waiting request was withdrawn by its caller.
   void withdraw(AdmissionId id);
   /// The next waiting request that may be dispatched now; counts as dispatched.
@@ -53,8 +53,9 @@
   [[nodiscard]] std::size_t underWay() const { return under_way_; }
   [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
   [[nodiscard]] std::uint32_t limit() const { return limit_; }
-  /// Mean time that the server took for a request, smoothed.
-  [[nodiscard]] Duration serviceTime() const { return service_time_; }
+  /// Mean time that the server takes for a request: smoothed over those that ended, or the mean age
+  /// of those under way if that is longer. A server that turns slow shows at once that way.
+  [[nodiscard]] Duration serviceTime(TimePoint now) const;
   /// How long a new request would wait at the present rate.
   [[nodiscard]] Duration expectedWait() const;
   [[nodiscard]] const AdmissionCounters& counters() const { return counters_; }
@@ -79,6 +80,7 @@
   std::map<Position, Waiting> waiting_;
   std::map<AdmissionId, Position> positions_;
   Duration service_time_ = milliseconds(50);
+  Duration begun_sum_{0};  ///< Sum of the times at which those under way were dispatched.
   AdmissionCounters counters_;
 };
 
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -153,8 +153,7 @@
     return;
   }
   under_way_ = false;
-  const Duration took = EventLoop::now() - begun_;
-  context_.admission.onFinished(answered ? std::optional<Duration>(took) : std::nullopt);
+  context_.admission.onFinished(begun_, answered, EventLoop::now());
   context_.pumpAdmission();
 }
 
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -63,7 +63,7 @@
   load.limit = admission.limit();
   load.under_way = static_cast<std::uint32_t>(admission.underWay());
   load.waiting = static_cast<std::uint32_t>(admission.waiting());
-  load.service_time = admission.serviceTime();
+  load.service_time = admission.serviceTime(EventLoop::now());
   return load;
 }
 
@@ -89,7 +89,7 @@
     const auto request = waiting[*id].lock();
     waiting.erase(*id);
     if (request == nullptr) {
-      admission.onFinished(std::nullopt);
+      admission.onFinished(now, false, now);
       continue;
     }
     request->onAdmitted();
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -310,28 +310,28 @@
 void ProxyProcess::logCounters() {
   const ProxyCounters& counters = context_.counters;
   const auto text = [](std::uint64_t number) { return std::to_string(number); };
-  logEvent(
-      EventLoop::now().count(), "counters",
-      {{"requests", text(counters.requests)},
-       {"answered", text(counters.answered)},
-       {"refused", text(counters.refused)},
-       {"failed", text(counters.failed)},
-       {"no_route", text(counters.no_route)},
-       {"clients_gone", text(counters.clients_gone)},
-       {"broken_off", text(counters.broken_off)},
-       {"attempts", text(counters.attempts)},
-       {"repeats", text(counters.repeats)},
-       {"repeats_unpaid", text(counters.repeats_unpaid)},
-       {"inbound", text(counters.inbound)},
-       {"inbound_fenced", text(counters.inbound_fenced)},
-       {"inbound_refused", text(counters.inbound_refused)},
-       {"server_not_run", text(counters.server_not_run)},
-       {"server_failures", text(counters.server_failures)},
-       {"server_connections", text(context_.server_pool.counters().connections_opened)},
-       {"surplus", text(context_.server_pool.counters().surplus_answers)},
-       {"under_way", text(context_.admission.underWay())},
-       {"waiting", text(context_.admission.waiting())},
-       {"service_us", text(static_cast<std::uint64_t>(context_.admission.serviceTime().count()))}});
+  logEvent(EventLoop::now().count(), "counters",
+           {{"requests", text(counters.requests)},
+            {"answered", text(counters.answered)},
+            {"refused", text(counters.refused)},
+            {"failed", text(counters.failed)},
+            {"no_route", text(counters.no_route)},
+            {"clients_gone", text(counters.clients_gone)},
+            {"broken_off", text(counters.broken_off)},
+            {"attempts", text(counters.attempts)},
+            {"repeats", text(counters.repeats)},
+            {"repeats_unpaid", text(counters.repeats_unpaid)},
+            {"inbound", text(counters.inbound)},
+            {"inbound_fenced", text(counters.inbound_fenced)},
+            {"inbound_refused", text(counters.inbound_refused)},
+            {"server_not_run", text(counters.server_not_run)},
+            {"server_failures", text(counters.server_failures)},
+            {"server_connections", text(context_.server_pool.counters().connections_opened)},
+            {"surplus", text(context_.server_pool.counters().surplus_answers)},
+            {"under_way", text(context_.admission.underWay())},
+            {"waiting", text(context_.admission.waiting())},
+            {"service_us", text(static_cast<std::uint64_t>(
+                               context_.admission.serviceTime(EventLoop::now()).count()))}});
 }
 
 }  // namespace ramppond
--- a/tests/core/instance_directory_test.cc
+++ b/tests/core/instance_directory_test.cc
@@ -45,6 +45,18 @@
   EXPECT_EQ(choose({"far", "near"}), "");
 }
 
+TEST_F(InstanceDirectoryTest, ASlowServerIsAvoidedAndAskedAgainLater) {
+  directory_.offer(record("far", "zone-b"));
+  directory_.offer(record("near", "zone-a"));
+  directory_.onLoad(find("near"), {10, 2, 0, milliseconds(20)}, now_);
+  directory_.onLoad(find("far"), {10, 2, 0, milliseconds(10)}, now_);
+  EXPECT_EQ(choose(), "near");  // Twice as slow is nothing out of the ordinary.
+  directory_.onLoad(find("near"), {10, 2, 0, milliseconds(120)}, now_);
+  EXPECT_EQ(choose(), "far");
+  now_ += seconds(3);
+  EXPECT_EQ(choose(), "near");
+}
+
 TEST_F(InstanceDirectoryTest, LeavingServersAndOtherServicesAreNeverChosen) {
   directory_.offer(record("near", "zone-a", InstanceState::kDraining));
   InstanceRecord other = record("far", "zone-b");
--- a/tests/core/server_admission_test.cc
+++ b/tests/core/server_admission_test.cc
@@ -27,7 +27,7 @@
         waiting += verdict == AdmissionVerdict::kWait ? 1 : 0;
       } else if (step == 2 && running > 0) {
         running -= 1;
-        admission.onFinished(milliseconds(10));
+        admission.onFinished(now, true, now + milliseconds(10));
       } else {
         waiting -= admission.takeExpired(now).size();
       }
@@ -49,7 +49,7 @@
   EXPECT_EQ(admission.offer({2, 2, kPatience}, TimePoint(0)), AdmissionVerdict::kWait);
   EXPECT_EQ(admission.offer({3, 0, kPatience}, TimePoint(0)), AdmissionVerdict::kWait);
   EXPECT_EQ(admission.takeDispatchable(TimePoint(0)), std::nullopt);
-  admission.onFinished(milliseconds(5));
+  admission.onFinished(TimePoint(0), true, TimePoint(0));
   EXPECT_EQ(admission.takeDispatchable(TimePoint(0)), AdmissionId{3});
 }
 
@@ -61,7 +61,7 @@
   EXPECT_EQ(admission.nextExpiry(), kPatience);
   EXPECT_TRUE(admission.takeExpired(kPatience - Duration(1)).empty());
   EXPECT_EQ(admission.takeExpired(kPatience), std::vector<AdmissionId>{2});
-  admission.onFinished(std::nullopt);
+  admission.onFinished(TimePoint(0), false, kPatience);
   EXPECT_EQ(admission.takeDispatchable(kPatience), std::nullopt);
 }
 
@@ -70,11 +70,22 @@
   admission.setSlots(1);
   for (int finished = 0; finished < 200; ++finished) {
     admission.offer({1, 0, kPatience}, TimePoint(0));
-    admission.onFinished(seconds(1));
+    admission.onFinished(TimePoint(0), true, seconds(1));
   }
   admission.offer({2, 0, kPatience}, TimePoint(0));
   EXPECT_EQ(admission.offer({3, 0, kPatience}, TimePoint(0)), AdmissionVerdict::kRefuse);
 }
 
+TEST(ServerAdmission, AServerThatTurnsSlowShowsBeforeItAnswers) {
+  ServerAdmission admission;
+  admission.setSlots(10);
+  admission.offer({1, 0, kPatience}, TimePoint(0));
+  admission.offer({2, 0, kPatience}, TimePoint(0));
+  EXPECT_EQ(admission.serviceTime(seconds(2)), seconds(2));
+  admission.onFinished(TimePoint(0), false, seconds(2));
+  admission.onFinished(TimePoint(0), false, seconds(2));
+  EXPECT_LT(admission.serviceTime(seconds(2)), milliseconds(100));
+}
+
 }  // namespace
 }  // namespace ramppond
