After a start of everything: first election sooner, daemons wait at a member, longer Retry-After

Ruled out: a shorter election time-out in general (syncs of a slow disk stop the leader's heartbeats).

--- a/control/coordinator/coordinator_process.cc
+++ b/control/coordinator/coordinator_process.cc
@@ -27,6 +27,8 @@
 constexpr Duration kStopTime = milliseconds(300);
 // A sync takes milliseconds and may be many times slower: elections must not follow from that.
 constexpr Duration kElectionTimeout = milliseconds(500);
+// After a loss of everything nobody can serve before there is a leader.
+constexpr Duration kFirstElectionTimeout = milliseconds(80);
 constexpr Duration kHeartbeatInterval = milliseconds(100);
 constexpr Duration kRegistryPullInterval = milliseconds(150);
 // The log stays small against the disks of control machines.
@@ -133,6 +135,7 @@
   options.registry_epoch = randomNumber();
   options.raft.id = storage_.id();
   options.raft.election_timeout = kElectionTimeout;
+  options.raft.first_election_timeout = kFirstElectionTimeout;
   options.raft.heartbeat_interval = kHeartbeatInterval;
   options.raft.random_seed = randomNumber();
   core_ = std::make_unique<ControlCore>(options, storage_.takeRecovery(), EventLoop::now());
--- a/core/control_core.cc
+++ b/core/control_core.cc
@@ -239,13 +239,22 @@
   held.poll = *poll;
   held.received = now;
   held.due = now + std::min(poll->hold, kLongestHold);
-  if (now >= held.due || !authoritative(now) || hasProxyNews(held, now)) {
+  if (mayAnswer(held, now)) {
     answerProxyPoll(token, *poll, now);
     return;
   }
   proxy_polls_.emplace(token, std::move(held));
 }
 
+// A daemon that has a configuration is told at once that this member hears no leader, and asks
+// another. One that has none yet waits here: after a start of everything, all members are electing.
+bool ControlCore::mayAnswer(const HeldProxyPoll& held, TimePoint now) const {
+  if (now >= held.due) {
+    return true;
+  }
+  return authoritative(now) ? hasProxyNews(held, now) : held.poll.traffic_index != 0;
+}
+
 bool ControlCore::hasProxyNews(const HeldProxyPoll& held, TimePoint now) const {
   const ProxyPoll& poll = held.poll;
   if (poll.traffic_index < state_.traffic().logIndex() ||
@@ -300,7 +309,7 @@
 
 void ControlCore::answerHeldProxyPolls(TimePoint now) {
   for (auto held = proxy_polls_.begin(); held != proxy_polls_.end();) {
-    if (!hasProxyNews(held->second, now) && now < held->second.due && authoritative(now)) {
+    if (!mayAnswer(held->second, now)) {
       ++held;
       continue;
     }
--- a/core/control_core.h
+++ b/core/control_core.h
@@ -133,6 +133,7 @@
   void changeMembersIfDue(TimePoint now);
   void onProxyPoll(ControlToken token, const ControlRequest& request, TimePoint now);
   ProxyNews proxyNews(const ProxyPoll& poll);
+  [[nodiscard]] bool mayAnswer(const HeldProxyPoll& held, TimePoint now) const;
   [[nodiscard]] bool hasProxyNews(const HeldProxyPoll& held, TimePoint now) const;
   void answerProxyPoll(ControlToken token, const ProxyPoll& poll, TimePoint now);
   void answerHeldProxyPolls(TimePoint now);
--- a/core/proxy_session.cc
+++ b/core/proxy_session.cc
@@ -57,7 +57,8 @@
   poll.registry_epoch = registry_epoch_;
   poll.registry_counter = registry_counter_;
   // After a failure the first question is what was missed, not what comes next.
-  poll.hold = failures_ == 0 && hasTraffic() ? options_.hold : Duration(0);
+  poll.hold = failures_ == 0 ? options_.hold : Duration(0);
+  poll.hold = hasTraffic() ? poll.hold : options_.first_hold;
   OutgoingPoll outgoing;
   outgoing.address = address();
   outgoing.poll_id = next_poll_id_++;
--- a/core/proxy_session.h
+++ b/core/proxy_session.h
@@ -26,6 +26,7 @@
   std::uint64_t random_seed = 1;
   Duration hold =
       seconds(1);  ///< How long a member may hold a poll; bounds how long a lost one costs.
+  Duration first_hold = milliseconds(300);     ///< The same while no configuration is held.
   Duration answer_margin = milliseconds(500);  ///< Beyond the hold, for the answer's way.
 };
 
--- a/core/raft.cc
+++ b/core/raft.cc
@@ -44,6 +44,11 @@
   stable_ = written_ = lastIndex();
   recomputeMembership();
   resetElectionTimer();
+  if (options_.first_election_timeout) {
+    const auto spread = static_cast<std::uint64_t>(options_.first_election_timeout->count());
+    election_due_ = now_ + *options_.first_election_timeout +
+                    Duration(static_cast<std::int64_t>(random_.below(spread)));
+  }
 }
 
 bool RaftNode::bootstrap(std::uint64_t group_id, const Member& self, TimePoint now) {
--- a/core/raft.h
+++ b/core/raft.h
@@ -22,6 +22,9 @@
   NodeId id = 0;
   Duration election_timeout = milliseconds(400);  ///< Lower bound; drawn up to twice this.
   Duration heartbeat_interval = milliseconds(80);
+  /// The same bound for the first election after a start. It may be short: pre-vote (9.6) keeps a
+  /// member that has just started from disturbing a leader that others hear.
+  std::optional<Duration> first_election_timeout;
   std::size_t maximum_entries_per_message = 512;
   std::uint64_t random_seed = 1;
 };
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -21,8 +21,12 @@
 // A request may wait for its server for this share of its goal: a refusal is cheap only early.
 constexpr std::int64_t kPatienceDivisor = 5;
 constexpr Duration kLeastTimeForAttempt = milliseconds(10);
-constexpr std::int64_t kRetryAfterDivisor = 6;
+// Told to whoever is refused: a third to two thirds of the goal, drawn so that those refused
+// together do not come back together.
+constexpr std::int64_t kRetryAfterDivisor = 3;
 constexpr Duration kLeastRetryAfter = milliseconds(100);
+// Without a configuration there is no goal: about as long as the control group needs to elect.
+constexpr Duration kRetryAfterWithoutConfiguration = milliseconds(400);
 
 BodyFraming framingOf(const HttpHead& head) {
   if (head.chunked) {
@@ -361,7 +365,7 @@
 
 std::string ForwardedRequest::retryAfter() {
   const Duration base = route_ == nullptr
-                            ? kLeastRetryAfter
+                            ? kRetryAfterWithoutConfiguration
                             : std::max(route_->goal / kRetryAfterDivisor, kLeastRetryAfter);
   const double time = static_cast<double>(base.count()) * (1 + context_.random.uniform());
   const auto thousandths = static_cast<std::int64_t>(time / 1000);
--- a/tests/core/proxy_session_test.cc
+++ b/tests/core/proxy_session_test.cc
@@ -191,5 +191,27 @@
   EXPECT_EQ(news->instances.front().daemon_address, "10.0.0.6:1");
 }
 
+TEST(ControlMember, ADaemonWithoutAConfigurationWaitsForTheLeader) {
+  ControlOptions options;
+  options.raft.id = 2;
+  ControlCore follower(options, RaftRecovery{}, TimePoint(0));
+  ControlRequest request;
+  request.type = ControlRequestType::kProxyPoll;
+  ProxyPoll poll;
+  poll.hold = milliseconds(300);
+  request.proxy_poll = encode(poll);
+  follower.onRequest(1, request, TimePoint(0));
+  EXPECT_TRUE(follower.take(TimePoint(0)).answers.empty());
+  poll.traffic_index = 5;
+  request.proxy_poll = encode(poll);
+  follower.onRequest(2, request, TimePoint(0));
+  const ControlWork told = follower.take(TimePoint(0));
+  ASSERT_EQ(told.answers.size(), 1U);
+  EXPECT_EQ(told.answers.front().token, 2U);
+  EXPECT_FALSE(told.answers.front().reply.authoritative);
+  follower.tick(milliseconds(300), 0);
+  EXPECT_EQ(follower.take(milliseconds(300)).answers.size(), 1U);
+}
+
 }  // namespace
 }  // namespace ramppond
