--- /dev/null
+++ b/tests/platform/stand_in.cc
@@ -0,0 +1,439 @@
+#include "tests/platform/stand_in.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace ramppond::stand_in {
+namespace {
+
+constexpr Duration kPatience = seconds(20);
+constexpr Duration kBeatInterval = milliseconds(300);
+
+/// Distinct ports of one address, chosen by the kernel; all are held until all are chosen.
+Ports freePorts(EventLoop& loop, const std::string& host) {
+  using Acceptor = boost::asio::ip::tcp::acceptor;
+  std::vector<std::unique_ptr<Acceptor>> held;
+  const auto next = [&] {
+    held.push_back(std::make_unique<Acceptor>(
+        loop.context(), boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address_v4(host), 0)));
+    return held.back()->local_endpoint().port();
+  };
+  return {next(), next(), next(), next(), next(), next(), next()};
+}
+
+/// Collects a whole answer.
+class Collector : public ClientHandler {
+ public:
+  explicit Collector(std::function<void(const Answer&)> done) : done_(std::move(done)) {}
+  void onResponseHead(HttpHead head) override {
+    answer_.status = head.status;
+    answer_.request_id = head.get("Request-Id");
+    answer_.retry_after = head.get("Retry-After");
+    location = head.get("Location");
+  }
+  void onResponseBody(std::string_view data) override { answer_.body.append(data); }
+  void onResponseEnd() override {
+    answer_.complete = true;
+    done_(answer_);
+  }
+  void onRequestFailed(ClientFailure /*failure*/) override { done_(answer_); }
+  std::string location;
+
+ private:
+  Answer answer_;
+  std::function<void(const Answer&)> done_;
+};
+
+HttpHead headOf(const Request& request) {
+  HttpHead head;
+  head.method = request.method;
+  head.target = request.target;
+  head.fields.push_back({"Host", request.host.empty() ? "machine" : request.host});
+  if (!request.request_id.empty()) {
+    head.fields.push_back({"Request-Id", request.request_id});
+  }
+  for (const auto& [name, value] : request.headers) {
+    head.fields.push_back({name, value});
+  }
+  if (!request.body.empty()) {
+    head.content_length = request.body.size();
+  }
+  return head;
+}
+
+class BodyHandler : public ExchangeHandler {
+ public:
+  explicit BodyHandler(std::function<void(const std::string&)> whole) : whole_(std::move(whole)) {}
+  void onRequestBody(std::string_view data) override { body_.append(data); }
+  void onRequestEnd() override { whole_(body_); }
+  void onClientGone() override {}
+
+ private:
+  std::function<void(const std::string&)> whole_;
+  std::string body_;
+};
+
+/// Gives all bytes that came.
+class RawClient : public TcpConnection {
+ public:
+  RawClient(EventLoop& loop, std::string bytes) : TcpConnection(loop), bytes_(std::move(bytes)) {}
+  void open(const Endpoint& endpoint) { connect(endpoint, seconds(2)); }
+  std::string received;
+  bool ended = false;
+
+ private:
+  void onConnected() override {
+    startReading();
+    write(bytes_);
+  }
+  void onConnectFailed() override { ended = true; }
+  void onData(std::string_view bytes) override { received.append(bytes); }
+  void onEnd(ConnectionEnd /*end*/) override {
+    ended = true;
+    abort(false);
+  }
+  std::string bytes_;
+};
+
+}  // namespace
+
+Program::Program(const std::string& program, const std::string& settings,
+                 const std::string& output) {
+  process_ = ::fork();
+  if (process_ != 0) {
+    return;
+  }
+  const int file = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  ::dup2(file, STDOUT_FILENO);
+  ::dup2(file, STDERR_FILENO);
+  ::execl(program.c_str(), program.c_str(), "--config", settings.c_str(), nullptr);
+  ::_exit(127);
+}
+
+Program::~Program() {
+  if (running()) {
+    signal(SIGKILL);
+    ::waitpid(process_, nullptr, 0);
+  }
+}
+
+void Program::signal(int number) const {
+  ::kill(process_, number);
+}
+
+bool Program::running() {
+  if (process_ <= 0) {
+    return false;
+  }
+  int status = 0;
+  if (::waitpid(process_, &status, WNOHANG) != process_) {
+    return true;
+  }
+  exit_status_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  process_ = 0;
+  return false;
+}
+
+AppServer::AppServer(EventLoop& loop, std::string host, const Ports& ports, std::string service,
+                     std::string instance)
+    : loop_(loop),
+      host_(std::move(host)),
+      ports_(ports),
+      service_(std::move(service)),
+      instance_(std::move(instance)),
+      beat_timer_(loop) {}
+
+void AppServer::start() {
+  server_ = std::make_unique<StreamHttpServer>(
+      loop_, Endpoint{host_, ports_.server}, HttpServerOptions{},
+      [this](const std::shared_ptr<ServerExchange>& exchange) { serve(exchange); });
+  server_->start();
+  HttpClientOptions options;
+  options.endpoint = {host_, ports_.reports};
+  reports_ = std::make_unique<HttpClientPool>(loop_, options);
+  beat("ready");
+}
+
+void AppServer::beat(const std::string& state) {
+  sequence_ += 1;
+  Request request;
+  request.method = "POST";
+  request.target = "/api/instances/" + instance_ + "/heartbeat";
+  request.body = R"({"address":")" + Endpoint{host_, ports_.server}.toString() +
+                 R"(","info":{"service":")" + service_ +
+                 R"(","version":"v1","zone":"z","slots":8},"status":{"state":")" + state +
+                 R"(","seq":)" + std::to_string(sequence_) + R"(,"cold_left_s":0}})";
+  const auto handler = std::make_shared<Collector>([this](const Answer& answer) {
+    beats_acknowledged += answer.complete && answer.status == 200 ? 1 : 0;
+  });
+  handlers_.push_back(handler);
+  exchanges_.push_back(
+      reports_->start(headOf(request), BodyFraming::kLength, request.body, true, handler));
+  beat_timer_.after(kBeatInterval, [this, state] {
+    if (beating_) {
+      beat(state);
+    }
+  });
+}
+
+void AppServer::serve(const std::shared_ptr<ServerExchange>& exchange) {
+  const std::weak_ptr<ServerExchange> weak = exchange;
+  exchange->setHandler(std::make_shared<BodyHandler>([this, weak](const std::string& body) {
+    const auto timer = std::make_shared<LoopTimer>(loop_);
+    timers_.push_back(timer);
+    timer->after(work, [this, weak, body] {
+      const auto alive = weak.lock();
+      if (alive != nullptr) {
+        answer(alive, body);
+      }
+    });
+  }));
+}
+
+void AppServer::answer(const std::shared_ptr<ServerExchange>& exchange, const std::string& body) {
+  const HttpHead& request = exchange->request();
+  const std::string id = request.get("Request-Id");
+  expected_instance = request.get("Expect-Instance");
+  caller_service = request.get("Caller-Service");
+  HttpHead head;
+  head.fields.push_back({"Request-Id", id});
+  if (!expected_instance.empty() && expected_instance != instance_) {
+    head.status = 421;
+    exchange->respond(std::move(head), "");
+    return;
+  }
+  runs[id] += 1;
+  head.status = 200;
+  head.fields.push_back({"Server-Stamp", "stamp-" + id});
+  exchange->respond(std::move(head),
+                    service_ + " " + request.method + " " + request.target + " " + id + " " + body);
+}
+
+Deployment::Deployment() {
+  ports = freePorts(loop, host(1));
+  std::string pattern = (std::filesystem::temp_directory_path() / "ramppond-XXXXXX").string();
+  folder = ::mkdtemp(pattern.data());
+}
+
+Deployment::~Deployment() {
+  proxies.clear();
+  control.clear();
+  std::filesystem::remove_all(folder);
+}
+
+// Loopback addresses of this test process alone: tests run side by side.
+std::string Deployment::host(int machine) const {
+  constexpr int kRange = 250;
+  const int process = ::getpid();
+  return "127." + std::to_string(1 + process % kRange) + "." +
+         std::to_string(process / kRange % kRange) + "." + std::to_string(machine);
+}
+
+std::string Deployment::controlHost(int machine) const {
+  return host(10 + machine);
+}
+
+std::string Deployment::serverHost(int machine) const {
+  return host(20 + machine);
+}
+
+void Deployment::startControl() {
+  std::string seeds;
+  for (int machine = 0; machine < kControlMachines; ++machine) {
+    seeds += (machine == 0 ? "\"" : ",\"") +
+             Endpoint{controlHost(machine), ports.operators}.toString() + "\"";
+  }
+  for (int machine = 0; machine < kControlMachines; ++machine) {
+    const std::string name = "control-" + std::to_string(machine);
+    const std::string path = folder + "/" + name + ".toml";
+    std::ofstream(path) << "name = \"" << name << "\"\noperator_address = \""
+                        << controlHost(machine) << ":" << ports.operators
+                        << "\"\nmember_address = \"" << controlHost(machine) << ":" << ports.members
+                        << "\"\ndata_folder = \"" << folder << "/" << name
+                        << "\"\nfirst_start = true\nseeds = [" << seeds << "]\n";
+    control.push_back(std::make_unique<Program>(RAMPPOND_COORDINATOR, path, folder + "/log"));
+  }
+}
+
+void Deployment::startProxies() {
+  proxies.resize(kServerMachines);
+  for (int machine = 0; machine < kServerMachines; ++machine) {
+    startProxy(machine);
+  }
+}
+
+void Deployment::startProxy(int machine) {
+  const std::string name = "server-" + std::to_string(machine);
+  const std::string path = folder + "/" + name + ".toml";
+  const std::string host = serverHost(machine);
+  std::ofstream file(path);
+  file << "name = \"" << name << "\"\nzone = \"z\"\nservice = \""
+       << (machine % 2 == 0 ? "one" : "two") << "\"\n";
+  const auto address = [&](const char* key, std::uint16_t port) {
+    file << key << " = \"" << host << ":" << port << "\"\n";
+  };
+  address("client_address", ports.clients);
+  address("peer_address", ports.peers);
+  address("readiness_address", ports.readiness);
+  address("report_address", ports.reports);
+  address("server_address", ports.server);
+  file << "member_port = " << ports.members << "\nseeds = [";
+  for (int seed = 0; seed < kControlMachines; ++seed) {
+    file << (seed == 0 ? "\"" : ",\"") << controlHost(seed) << ":" << ports.operators << "\"";
+  }
+  file << "]\nbounds = [\"drain_timeout_s=2\",\"grace_s=6\"]\n";
+  file.close();
+  proxies[static_cast<std::size_t>(machine)] =
+      std::make_unique<Program>(RAMPPOND_PROXY, path, folder + "/log");
+}
+
+void Deployment::startServers() {
+  for (int machine = 0; machine < kServerMachines; ++machine) {
+    servers.push_back(std::make_unique<AppServer>(loop, serverHost(machine), ports,
+                                                  machine % 2 == 0 ? "one" : "two",
+                                                  "i-" + std::to_string(machine)));
+    servers.back()->start();
+  }
+}
+
+HttpClientPool& Deployment::pool(const std::string& host, std::uint16_t port) {
+  auto& pool = pools_[host + ":" + std::to_string(port)];
+  if (pool == nullptr) {
+    HttpClientOptions options;
+    options.endpoint = {host, port};
+    pool = std::make_unique<HttpClientPool>(loop, options);
+  }
+  return *pool;
+}
+
+Answer Deployment::call(const std::string& host, std::uint16_t port, const Request& request) {
+  Answer result;
+  bool done = false;
+  const auto handler = std::make_shared<Collector>([&](const Answer& answer) {
+    result = answer;
+    done = true;
+  });
+  const auto exchange =
+      pool(host, port)
+          .start(headOf(request), request.body.empty() ? BodyFraming::kNone : BodyFraming::kLength,
+                 request.body, true, handler);
+  runUntil([&] { return done; });
+  const std::string prefix = "http://";
+  if (result.status == 307 && handler->location.substr(0, prefix.size()) == prefix) {
+    const std::string rest = handler->location.substr(prefix.size());
+    const auto endpoint = parseEndpoint(rest.substr(0, rest.find('/')));
+    return endpoint ? call(endpoint->host, endpoint->port, request) : result;
+  }
+  return result;
+}
+
+int Deployment::putTo(int machine, const std::string& base, const std::string& document) {
+  Request request;
+  request.method = "POST";
+  request.target = "/api/config/put";
+  request.body = document;
+  request.headers["Base-Version"] = base;
+  return call(controlHost(machine), ports.operators, request).status;
+}
+
+int Deployment::put(const std::string& base, const std::string& document) {
+  int status = 0;
+  for (int attempt = 0; attempt < 100; ++attempt) {
+    status = putTo(attempt % kControlMachines, base, document);
+    if (status != 0 && status < 500) {
+      break;
+    }
+    runFor(milliseconds(50));
+  }
+  return status;
+}
+
+std::string Deployment::read() {
+  Request request;
+  request.target = "/api/config/get";
+  return call(controlHost(0), ports.operators, request).body;
+}
+
+Answer Deployment::send(int machine, const Request& request) {
+  return call(serverHost(machine), ports.clients, request);
+}
+
+void Deployment::sendLater(int machine, const Request& request,
+                           std::function<void(const Answer&)> done) {
+  struct Pending {
+    std::shared_ptr<ClientHandler> handler;
+    std::shared_ptr<ClientExchange> exchange;
+  };
+  const auto pending = std::make_shared<Pending>();
+  pending->handler =
+      std::make_shared<Collector>([pending, done = std::move(done)](const Answer& answer) {
+        done(answer);
+        pending->exchange.reset();
+      });
+  pending->exchange =
+      pool(serverHost(machine), ports.clients)
+          .start(headOf(request), request.body.empty() ? BodyFraming::kNone : BodyFraming::kLength,
+                 request.body, true, pending->handler);
+}
+
+std::string Deployment::sendRaw(const std::string& host, std::uint16_t port,
+                                const std::string& bytes) {
+  const auto client = std::make_shared<RawClient>(loop, bytes);
+  client->open({host, port});
+  std::size_t seen = 0;
+  for (int quiet = 0; quiet < 4 && !client->ended;) {
+    runFor(milliseconds(50));
+    quiet = client->received.size() == seen ? quiet + 1 : 0;
+    seen = client->received.size();
+  }
+  client->abort(false);
+  return client->received;
+}
+
+int Deployment::readiness(int machine) {
+  Request request;
+  request.target = "/api/ready";
+  return call(serverHost(machine), ports.readiness, request).status;
+}
+
+bool Deployment::runUntil(const std::function<bool()>& condition) {
+  const TimePoint end = EventLoop::now() + kPatience;
+  while (!condition() && EventLoop::now() < end) {
+    loop.context().restart();
+    loop.context().run_one_for(milliseconds(20));
+  }
+  return condition();
+}
+
+void Deployment::runFor(Duration time) {
+  const TimePoint end = EventLoop::now() + time;
+  while (EventLoop::now() < end) {
+    loop.context().restart();
+    loop.context().run_one_for(milliseconds(5));
+  }
+}
+
+std::string configurationDocument(const std::string& version, const std::string& extra_prefix) {
+  const auto route = [](const std::string& name, const std::string& prefix, const std::string& kind,
+                        const std::string& service) {
+    return R"({"type":"routes","meta":{"name":")" + name +
+           R"("},"spec":{"host":"app.example","path_prefix":")" + prefix + R"(","kind":")" + kind +
+           R"(","timeout_s":5,"goal_s":1,"priority":1,"max_attempts":2,"service":")" + service +
+           R"("}})";
+  };
+  const std::string service_end = R"("},"spec":{"health_path":"/health","max_conns":100}})";
+  return R"({"version":")" + version + R"(","resources":[)" +
+         route("r-one", "/one/", "safe", "one") + "," + route("r-two", "/two/", "unsafe", "two") +
+         "," + route("r-extra", extra_prefix, "safe", "two") + "," +
+         R"({"type":"services","meta":{"name":"one)" + service_end + "," +
+         R"({"type":"services","meta":{"name":"two)" + service_end +
+         R"(,{"type":"limits","meta":{},"spec":{"max_header_bytes":16384,"max_body_bytes":100000,)"
+         R"("header_timeout_s":3,"idle_timeout_s":15}}]})";
+}
+
+}  // namespace ramppond::stand_in
--- /dev/null
+++ b/tests/platform/stand_in.h
@@ -0,0 +1,147 @@
+// The platform's side of the protocol, for tests with real processes on loopback: machines with
+// their servers, an operator, clients. Written from the platform's published protocol alone.
+//
+// Every machine has a loopback address of its own, and the same ports, as on the platform. The
+// programs run as child processes; servers, operator and clients run on the test's event loop.
+#pragma once
+
+#include <sys/types.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/stream/http_client.h"
+#include "net/stream/http_server.h"
+
+namespace ramppond::stand_in {
+
+/// A program started by the test and ended with it.
+class Program {
+ public:
+  Program(const std::string& program, const std::string& settings, const std::string& output);
+  ~Program();
+  Program(const Program&) = delete;
+  Program& operator=(const Program&) = delete;
+  void signal(int number) const;
+  /// Whether it still runs; afterwards exitStatus() tells how it ended.
+  bool running();
+  [[nodiscard]] int exitStatus() const { return exit_status_; }
+
+ private:
+  pid_t process_ = 0;
+  int exit_status_ = -1;
+};
+
+struct Ports {
+  std::uint16_t operators = 0;
+  std::uint16_t members = 0;
+  std::uint16_t clients = 0;
+  std::uint16_t peers = 0;
+  std::uint16_t readiness = 0;
+  std::uint16_t reports = 0;
+  std::uint16_t server = 0;
+};
+
+/// A whole answer as a client saw it.
+struct Answer {
+  bool complete = false;
+  int status = 0;
+  std::string body;
+  std::string request_id;
+  std::string retry_after;
+};
+
+struct Request {
+  std::string method = "GET";
+  std::string host;
+  std::string target;
+  std::string request_id;
+  std::string body;
+  std::map<std::string, std::string> headers;
+};
+
+/// A back end that reports itself, answers with what it was asked, and counts what it ran.
+class AppServer {
+ public:
+  AppServer(EventLoop& loop, std::string host, const Ports& ports, std::string service,
+            std::string instance);
+  void start();
+  void beat(const std::string& state);
+  void stopBeating() { beating_ = false; }
+  std::map<std::string, int> runs;  ///< Request id to the times that it ran.
+  std::string caller_service;       ///< Of the last request.
+  std::string expected_instance;    ///< Of the last request.
+  std::size_t beats_acknowledged = 0;
+  Duration work = milliseconds(5);
+
+ private:
+  void serve(const std::shared_ptr<ServerExchange>& exchange);
+  void answer(const std::shared_ptr<ServerExchange>& exchange, const std::string& body);
+
+  EventLoop& loop_;
+  std::string host_;
+  Ports ports_;
+  std::string service_;
+  std::string instance_;
+  std::unique_ptr<StreamHttpServer> server_;
+  std::unique_ptr<HttpClientPool> reports_;
+  std::vector<std::shared_ptr<ClientHandler>> handlers_;
+  std::vector<std::shared_ptr<ClientExchange>> exchanges_;
+  std::vector<std::shared_ptr<LoopTimer>> timers_;
+  LoopTimer beat_timer_;
+  std::uint64_t sequence_ = 0;
+  bool beating_ = true;
+};
+
+/// Three control machines and some machines with servers.
+class Deployment {
+ public:
+  Deployment();
+  ~Deployment();
+
+  static constexpr int kControlMachines = 3;
+  static constexpr int kServerMachines = 4;
+
+  void startControl();
+  void startProxies();
+  void startProxy(int machine);
+  void startServers();
+  /// Puts a configuration with the operator's retries and redirects; gives the last status.
+  int put(const std::string& base, const std::string& document);
+  int putTo(int machine, const std::string& base, const std::string& document);
+  /// Reads it back, as the operator does.
+  std::string read();
+  Answer send(int machine, const Request& request);
+  /// Sends without waiting; `done` is called with the answer.
+  void sendLater(int machine, const Request& request, std::function<void(const Answer&)> done);
+  /// Sends raw bytes; gives what came back until the connection ended or was silent.
+  std::string sendRaw(const std::string& host, std::uint16_t port, const std::string& bytes);
+  int readiness(int machine);
+  /// Runs the loop until `condition` holds; false if it does not in good time.
+  bool runUntil(const std::function<bool()>& condition);
+  void runFor(Duration time);
+  std::string controlHost(int machine) const;
+  std::string serverHost(int machine) const;
+
+  EventLoop loop;
+  Ports ports;
+  std::string folder;
+  std::vector<std::unique_ptr<Program>> control;
+  std::vector<std::unique_ptr<Program>> proxies;
+  std::vector<std::unique_ptr<AppServer>> servers;
+
+ private:
+  [[nodiscard]] std::string host(int machine) const;
+  Answer call(const std::string& host, std::uint16_t port, const Request& request);
+  HttpClientPool& pool(const std::string& host, std::uint16_t port);
+
+  std::map<std::string, std::unique_ptr<HttpClientPool>> pools_;
+};
+
+/// A configuration: routes /one/ (safe, service one), /two/ (unsafe, service two).
+std::string configurationDocument(const std::string& version, const std::string& extra_prefix);
+
+}  // namespace ramppond::stand_in
