--- a/control/coordinator/coordinator_process.cc
+++ b/control/coordinator/coordinator_process.cc
@@ -1,9 +1,6 @@
 #include "control/coordinator/coordinator_process.h"
 
 #include <csignal>
-#include <fstream>
-#include <random>
-#include <sstream>
 
 #include "common/event_log.h"
 #include "core/cbor_codec.h"
@@ -38,18 +35,6 @@
 // Tokens of operators' calls lie above those of frames.
 constexpr ControlToken kFirstOperatorToken = ControlToken{1} << 62U;
 
-std::uint64_t randomNumber() {
-  std::random_device device;
-  return ((std::uint64_t{device()} << 32U) | device()) | 1U;
-}
-
-std::string readFile(const std::string& path) {
-  std::ifstream file(path);
-  std::stringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 std::int64_t wallClockMs() {
   return std::chrono::duration_cast<milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -62,24 +47,6 @@
   return options;
 }
 
-/// Collects an operator's document, then hands it over.
-class DocumentHandler : public ExchangeHandler {
- public:
-  explicit DocumentHandler(std::function<void(const std::string&)> whole)
-      : whole_(std::move(whole)) {}
-  void onRequestBody(std::string_view data) override {
-    if (body_.size() < kMaximumDocumentBytes) {
-      body_.append(data);
-    }
-  }
-  void onRequestEnd() override { whole_(body_); }
-  void onClientGone() override {}
-
- private:
-  std::function<void(const std::string&)> whole_;
-  std::string body_;
-};
-
 void answerOperator(const std::shared_ptr<ServerExchange>& exchange, int status,
                     std::string_view body) {
   HttpHead head;
@@ -94,8 +61,7 @@
                                        std::string settings_path)
     : api_(api),
       settings_(std::move(settings)),
-      settings_path_(std::move(settings_path)),
-      settings_text_(readFile(settings_path_)),
+      settings_watch_(std::move(settings_path)),
       files_(settings_.data_folder),
       storage_(files_),
       channels_(loop_),
@@ -116,7 +82,7 @@
     return error;
   }
   const NodeId fresh =
-      settings_.first_start ? firstIdentity(settings_.member_address.toString()) : randomNumber();
+      settings_.first_start ? firstIdentity(settings_.member_address.toString()) : randomNumber64();
   if (auto error = storage_.open(fresh)) {
     return settings_.data_folder + "/" + *error;
   }
@@ -132,12 +98,12 @@
   options.address = settings_.member_address.toString();
   options.entries_per_snapshot = kEntriesPerSnapshot;
   options.session_pull_interval = kRegistryPullInterval;
-  options.registry_epoch = randomNumber();
+  options.registry_epoch = randomNumber64();
   options.raft.id = storage_.id();
   options.raft.election_timeout = kElectionTimeout;
   options.raft.first_election_timeout = kFirstElectionTimeout;
   options.raft.heartbeat_interval = kHeartbeatInterval;
-  options.raft.random_seed = randomNumber();
+  options.raft.random_seed = randomNumber64();
   core_ = std::make_unique<ControlCore>(options, storage_.takeRecovery(), EventLoop::now());
   bootstrapIfFirst();
   if (auto error = frames_.start()) {
@@ -189,8 +155,8 @@
   }
   const std::string base = request.get(api_.headers().base_version);
   const std::weak_ptr<ServerExchange> weak = exchange;
-  exchange->setHandler(
-      std::make_shared<DocumentHandler>([this, base, weak](const std::string& body) {
+  exchange->setHandler(std::make_shared<WholeBodyHandler>(
+      kMaximumDocumentBytes, [this, base, weak](const std::string& body) {
         const auto alive = weak.lock();
         if (alive != nullptr) {
           onReplacement(base, body, alive);
@@ -424,13 +390,11 @@
 
 // The file may change without a signal. Only the seeds can change while the process runs.
 void CoordinatorProcess::rereadSettings() {
-  std::string text = readFile(settings_path_);
-  if (text == settings_text_) {
+  if (!settings_watch_.changed()) {
     return;
   }
-  settings_text_ = std::move(text);
   std::string error;
-  const auto settings = readCoordinatorSettings(settings_path_, error);
+  const auto settings = readCoordinatorSettings(settings_watch_.path(), error);
   const std::int64_t now = EventLoop::now().count();
   if (!settings) {
     logEvent(now, "settings_refused", {{"error", error}});
--- a/control/coordinator/coordinator_process.h
+++ b/control/coordinator/coordinator_process.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 
+#include "common/settings_watch.h"
 #include "control/coordinator/coordinator_settings.h"
 #include "core/control_core.h"
 #include "core/external_api.h"
@@ -53,8 +54,7 @@
   EventLoop loop_;
   const ExternalApi& api_;
   CoordinatorSettings settings_;
-  std::string settings_path_;
-  std::string settings_text_;
+  SettingsWatch settings_watch_;
   PosixFileSystem files_;
   RaftStorage storage_;
   std::unique_ptr<ControlCore> core_;
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -28,13 +28,6 @@
 // Without a configuration there is no goal: about as long as the control group needs to elect.
 constexpr Duration kRetryAfterWithoutConfiguration = milliseconds(400);
 
-BodyFraming framingOf(const HttpHead& head) {
-  if (head.chunked) {
-    return BodyFraming::kChunked;
-  }
-  return head.content_length ? BodyFraming::kLength : BodyFraming::kNone;
-}
-
 }  // namespace
 
 void ForwardedRequest::serve(ProxyContext& context,
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -14,13 +14,6 @@
 // The server gives an answer at its deadline only if something is left to work with.
 constexpr Duration kLeastTimeLeft = milliseconds(2);
 
-BodyFraming framingOf(const HttpHead& head) {
-  if (head.chunked) {
-    return BodyFraming::kChunked;
-  }
-  return head.content_length ? BodyFraming::kLength : BodyFraming::kNone;
-}
-
 bool bodiless(int status) {
   constexpr int kNoContent = 204;
   constexpr int kNotModified = 304;
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -1,9 +1,6 @@
 #include "daemon/proxy/proxy_process.h"
 
 #include <csignal>
-#include <fstream>
-#include <random>
-#include <sstream>
 
 #include "common/event_log.h"
 #include "daemon/proxy/forwarded_request.h"
@@ -27,11 +24,6 @@
 constexpr std::uint32_t kCounterSeconds = 5;
 constexpr std::size_t kMaximumReportBytes = 65536;
 
-std::uint64_t randomSeed() {
-  std::random_device device;
-  return (std::uint64_t{device()} << 32U) | device();
-}
-
 // Orders the starts of one daemon: later ones have higher numbers unless the clock ran backwards,
 // which ProxySession corrects.
 std::uint64_t incarnationNow() {
@@ -40,13 +32,6 @@
           .count());
 }
 
-std::string readFile(const std::string& path) {
-  std::ifstream file(path);
-  std::stringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 HttpServerOptions peerServerOptions() {
   HttpServerOptions options;
   options.max_header_bytes = 131072;
@@ -54,29 +39,11 @@
   return options;
 }
 
-/// Collects a short body, then answers.
-class ReportHandler : public ExchangeHandler {
- public:
-  explicit ReportHandler(std::function<void(const std::string&)> whole)
-      : whole_(std::move(whole)) {}
-  void onRequestBody(std::string_view data) override {
-    if (body_.size() < kMaximumReportBytes) {
-      body_.append(data);
-    }
-  }
-  void onRequestEnd() override { whole_(body_); }
-  void onClientGone() override {}
-
- private:
-  std::function<void(const std::string&)> whole_;
-  std::string body_;
-};
-
 ProxySessionOptions sessionOptions(const ProxySettings& settings) {
   ProxySessionOptions options;
   options.seeds = memberAddresses(settings.seeds, settings.member_port);
   options.incarnation = incarnationNow();
-  options.random_seed = randomSeed();
+  options.random_seed = randomNumber64();
   return options;
 }
 
@@ -84,9 +51,8 @@
 
 ProxyProcess::ProxyProcess(const ExternalApi& api, const ProxySettings& settings,
                            std::string settings_path)
-    : settings_path_(std::move(settings_path)),
-      settings_text_(readFile(settings_path_)),
-      context_(loop_, api, settings, randomSeed()),
+    : settings_watch_(std::move(settings_path)),
+      context_(loop_, api, settings, randomNumber64()),
       session_(sessionOptions(settings)),
       channels_(loop_),
       clients_(loop_, settings.client_address, HttpServerOptions{},
@@ -151,12 +117,13 @@
     return;
   }
   const std::weak_ptr<ServerExchange> weak = exchange;
-  exchange->setHandler(std::make_shared<ReportHandler>([this, call, weak](const std::string& body) {
-    const auto alive = weak.lock();
-    if (alive != nullptr) {
-      onReport(call, body, alive);
-    }
-  }));
+  exchange->setHandler(std::make_shared<WholeBodyHandler>(
+      kMaximumReportBytes, [this, call, weak](const std::string& body) {
+        const auto alive = weak.lock();
+        if (alive != nullptr) {
+          onReport(call, body, alive);
+        }
+      }));
 }
 
 void ProxyProcess::onReport(const ExternalCall& call, const std::string& body,
@@ -278,13 +245,11 @@
 
 // The file may change without a signal. Only the seeds can change while the process runs.
 void ProxyProcess::rereadSettings(bool asked) {
-  std::string text = readFile(settings_path_);
-  if (text == settings_text_) {
+  if (!settings_watch_.changed()) {
     return;
   }
-  settings_text_ = std::move(text);
   std::string error;
-  const auto settings = readProxySettings(settings_path_, error);
+  const auto settings = readProxySettings(settings_watch_.path(), error);
   const std::int64_t now = EventLoop::now().count();
   if (!settings) {
     logEvent(now, "settings_refused", {{"error", error}});
--- a/daemon/proxy/proxy_process.h
+++ b/daemon/proxy/proxy_process.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "common/settings_watch.h"
 #include "core/proxy_session.h"
 #include "daemon/proxy/proxy_context.h"
 #include "net/stream/control_channels.h"
@@ -43,8 +44,7 @@
   void logCounters();
 
   EventLoop loop_;
-  std::string settings_path_;
-  std::string settings_text_;
+  SettingsWatch settings_watch_;
   ProxyContext context_;
   ProxySession session_;
   ControlChannels channels_;
--- a/net/stream/frame_channel.cc
+++ b/net/stream/frame_channel.cc
@@ -15,8 +15,6 @@
 // After a cut has healed, a new connection carries bytes sooner than the waiting retransmissions
 // of an old one would.
 constexpr Duration kUserTimeout = seconds(1);
-constexpr Duration kAcceptPause = milliseconds(100);
-constexpr int kBacklog = 1024;
 
 void appendLittleEndian(std::string& bytes, std::uint64_t value, std::size_t size) {
   for (std::size_t byte = 0; byte < size; ++byte) {
@@ -109,11 +107,10 @@
 
 FrameServer::FrameServer(EventLoop& loop, Endpoint endpoint, Receive receive, Gone gone)
     : loop_(loop),
-      endpoint_(std::move(endpoint)),
       receive_(std::move(receive)),
       gone_(std::move(gone)),
-      acceptor_(loop.context()),
-      accept_timer_(loop) {}
+      listener_(loop, std::move(endpoint),
+                [this](Tcp::socket socket) { onAccepted(std::move(socket)); }) {}
 
 FrameServer::~FrameServer() {
   for (const auto& connection : connections_) {
@@ -122,40 +119,13 @@
 }
 
 std::optional<std::string> FrameServer::start() {
-  boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address_v4(endpoint_.host, error);
-  if (!error) {
-    acceptor_.open(Tcp::v4(), error);
-  }
-  if (!error) {
-    acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
-    acceptor_.bind(Tcp::endpoint(address, endpoint_.port), error);
-  }
-  if (!error) {
-    acceptor_.listen(kBacklog, error);
-  }
-  if (error) {
-    return endpoint_.toString() + ": cannot listen: " + error.message();
-  }
-  accept();
-  return std::nullopt;
+  return listener_.start();
 }
 
-void FrameServer::accept() {
-  acceptor_.async_accept([this](const boost::system::error_code& error, Tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted) {
-      return;
-    }
-    if (error) {
-      accept_timer_.after(kAcceptPause, [this] { accept(); });
-      return;
-    }
-    const auto connection =
-        std::make_shared<FrameServerConnection>(loop_, std::move(socket), *this);
-    connections_.insert(connection);
-    connection->start();
-    accept();
-  });
+void FrameServer::onAccepted(Tcp::socket socket) {
+  const auto connection = std::make_shared<FrameServerConnection>(loop_, std::move(socket), *this);
+  connections_.insert(connection);
+  connection->start();
 }
 
 void FrameServer::answer(FrameToken token, FrameKind kind, std::string body) {
--- a/net/stream/frame_channel.h
+++ b/net/stream/frame_channel.h
@@ -19,6 +19,7 @@
 
 #include "common/settings.h"
 #include "net/stream/tcp_connection.h"
+#include "net/stream/tcp_listener.h"
 
 namespace ramppond {
 
@@ -70,14 +71,12 @@
     std::weak_ptr<FrameServerConnection> connection;
     std::uint64_t number = 0;
   };
-  void accept();
+  void onAccepted(boost::asio::ip::tcp::socket socket);
 
   EventLoop& loop_;
-  Endpoint endpoint_;
   Receive receive_;
   Gone gone_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  LoopTimer accept_timer_;
+  TcpListener listener_;
   std::set<std::shared_ptr<FrameServerConnection>> connections_;
   std::map<FrameToken, Waiting> waiting_;
   FrameToken next_token_ = 1;
--- a/net/stream/http_head.cc
+++ b/net/stream/http_head.cc
@@ -113,6 +113,13 @@
   fields.erase(std::remove_if(fields.begin(), fields.end(), dropped), fields.end());
 }
 
+BodyFraming framingOf(const HttpHead& head) {
+  if (head.chunked) {
+    return BodyFraming::kChunked;
+  }
+  return head.content_length ? BodyFraming::kLength : BodyFraming::kNone;
+}
+
 std::string requestHeadBytes(const HttpHead& head, BodyFraming framing) {
   std::string bytes;
   bytes.reserve(512);
--- a/net/stream/http_head.h
+++ b/net/stream/http_head.h
@@ -43,6 +43,9 @@
 /// How the body of a message that is written is framed.
 enum class BodyFraming : std::uint8_t { kNone, kLength, kChunked };
 
+/// How the body of a message that came is framed.
+BodyFraming framingOf(const HttpHead& head);
+
 /// The bytes of a request head or a response head, with the framing fields.
 std::string requestHeadBytes(const HttpHead& head, BodyFraming framing);
 std::string responseHeadBytes(const HttpHead& head, BodyFraming framing, bool close);
--- a/net/stream/http_server.cc
+++ b/net/stream/http_server.cc
@@ -12,8 +12,6 @@
 constexpr std::size_t kMaximumBegun = 32;  ///< Requests begun on one connection at a time.
 constexpr std::size_t kMaximumHeldInput = 131072;
 constexpr Duration kSweepInterval = seconds(1);
-constexpr Duration kAcceptPause = milliseconds(100);
-constexpr int kBacklog = 1024;
 
 bool startsWith(std::string_view text, std::string_view prefix) {
   return text.substr(0, prefix.size()) == prefix;
@@ -373,12 +371,11 @@
 StreamHttpServer::StreamHttpServer(EventLoop& loop, Endpoint endpoint, HttpServerOptions options,
                                    Factory factory)
     : loop_(loop),
-      endpoint_(std::move(endpoint)),
       options_(std::move(options)),
       factory_(std::move(factory)),
-      acceptor_(loop.context()),
-      sweep_timer_(loop),
-      accept_timer_(loop) {}
+      listener_(loop, std::move(endpoint),
+                [this](Tcp::socket socket) { onAccepted(std::move(socket)); }),
+      sweep_timer_(loop) {}
 
 StreamHttpServer::~StreamHttpServer() {
   const auto connections = std::exchange(connections_, {});
@@ -389,40 +386,17 @@
 }
 
 std::optional<std::string> StreamHttpServer::start() {
-  boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address_v4(endpoint_.host, error);
-  if (!error) {
-    acceptor_.open(Tcp::v4(), error);
+  if (auto error = listener_.start()) {
+    return error;
   }
-  if (!error) {
-    acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
-    acceptor_.bind(Tcp::endpoint(address, endpoint_.port), error);
-  }
-  if (!error) {
-    acceptor_.listen(kBacklog, error);
-  }
-  if (error) {
-    return endpoint_.toString() + ": cannot listen: " + error.message();
-  }
-  accept();
   sweep();
   return std::nullopt;
 }
 
-void StreamHttpServer::accept() {
-  acceptor_.async_accept([this](const boost::system::error_code& error, Tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted) {
-      return;
-    }
-    if (error) {
-      accept_timer_.after(kAcceptPause, [this] { accept(); });  // Out of descriptors, say.
-      return;
-    }
-    const auto connection = std::make_shared<HttpServerConnection>(loop_, std::move(socket), *this);
-    connections_.insert(connection);
-    connection->start();
-    accept();
-  });
+void StreamHttpServer::onAccepted(Tcp::socket socket) {
+  const auto connection = std::make_shared<HttpServerConnection>(loop_, std::move(socket), *this);
+  connections_.insert(connection);
+  connection->start();
 }
 
 void StreamHttpServer::sweep() {
--- a/net/stream/http_server.h
+++ b/net/stream/http_server.h
@@ -17,6 +17,7 @@
 #include "net/stream/http_head.h"
 #include "net/stream/http_parser.h"
 #include "net/stream/tcp_connection.h"
+#include "net/stream/tcp_listener.h"
 
 namespace ramppond {
 
@@ -34,6 +35,26 @@
   virtual void onResponseDrained() {}
 };
 
+/// Collects a request's whole body and hands it over.
+class WholeBodyHandler : public ExchangeHandler {
+ public:
+  /// Bytes beyond `limit` are left out; no valid message is that long.
+  WholeBodyHandler(std::size_t limit, std::function<void(const std::string&)> whole)
+      : limit_(limit), whole_(std::move(whole)) {}
+  void onRequestBody(std::string_view data) override {
+    if (body_.size() < limit_) {
+      body_.append(data);
+    }
+  }
+  void onRequestEnd() override { whole_(body_); }
+  void onClientGone() override {}
+
+ private:
+  std::size_t limit_;
+  std::function<void(const std::string&)> whole_;
+  std::string body_;
+};
+
 /// One request and its answer. Valid after its connection has ended; then it does nothing.
 class ServerExchange : public std::enable_shared_from_this<ServerExchange> {
  public:
@@ -108,16 +129,14 @@
 
  private:
   friend class HttpServerConnection;
-  void accept();
+  void onAccepted(boost::asio::ip::tcp::socket socket);
   void sweep();
 
   EventLoop& loop_;
-  Endpoint endpoint_;
   HttpServerOptions options_;
   Factory factory_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  TcpListener listener_;
   LoopTimer sweep_timer_;
-  LoopTimer accept_timer_;
   std::set<std::shared_ptr<HttpServerConnection>> connections_;
   std::size_t under_way_ = 0;
   bool draining_ = false;
--- a/tests/platform/stand_in.cc
+++ b/tests/platform/stand_in.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Duration kPatience = seconds(20);
+constexpr std::size_t kMaximumBodyBytes = 1U << 20U;
 constexpr Duration kBeatInterval = milliseconds(300);
 
 /// Distinct ports of one address, chosen by the kernel; all are held until all are chosen.
@@ -66,18 +67,6 @@
   return head;
 }
 
-class BodyHandler : public ExchangeHandler {
- public:
-  explicit BodyHandler(std::function<void(const std::string&)> whole) : whole_(std::move(whole)) {}
-  void onRequestBody(std::string_view data) override { body_.append(data); }
-  void onRequestEnd() override { whole_(body_); }
-  void onClientGone() override {}
-
- private:
-  std::function<void(const std::string&)> whole_;
-  std::string body_;
-};
-
 /// Gives all bytes that came.
 class RawClient : public TcpConnection {
  public:
@@ -183,16 +172,17 @@
 
 void AppServer::serve(const std::shared_ptr<ServerExchange>& exchange) {
   const std::weak_ptr<ServerExchange> weak = exchange;
-  exchange->setHandler(std::make_shared<BodyHandler>([this, weak](const std::string& body) {
-    const auto timer = std::make_shared<LoopTimer>(loop_);
-    timers_.push_back(timer);
-    timer->after(work, [this, weak, body] {
-      const auto alive = weak.lock();
-      if (alive != nullptr) {
-        answer(alive, body);
-      }
-    });
-  }));
+  exchange->setHandler(
+      std::make_shared<WholeBodyHandler>(kMaximumBodyBytes, [this, weak](const std::string& body) {
+        const auto timer = std::make_shared<LoopTimer>(loop_);
+        timers_.push_back(timer);
+        timer->after(work, [this, weak, body] {
+          const auto alive = weak.lock();
+          if (alive != nullptr) {
+            answer(alive, body);
+          }
+        });
+      }));
 }
 
 void AppServer::answer(const std::shared_ptr<ServerExchange>& exchange, const std::string& body) {
