--- a/core/server_admission.cc
+++ b/core/server_admission.cc
@@ -14,8 +14,9 @@
 
 }  // namespace
 
-void ServerAdmission::setSlots(std::uint32_t slots) {
-  const std::uint64_t usable = std::uint64_t{slots} * kUsablePercent / 100;
+void ServerAdmission::setSlots(std::uint32_t slots, std::uint32_t max_connections) {
+  const std::uint32_t most = max_connections == 0 ? slots : std::min(slots, max_connections);
+  const std::uint64_t usable = std::uint64_t{most} * kUsablePercent / 100;
   limit_ = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(usable));
 }
 
--- a/core/server_admission.h
+++ b/core/server_admission.h
@@ -36,8 +36,9 @@
 
 class ServerAdmission {
  public:
-  /// `slots` as the server tells; 0 for unknown.
-  void setSlots(std::uint32_t slots);
+  /// `slots` as the server tells, and the connections that it accepts from all callers; 0 for
+  /// unknown. Each request under way holds one connection.
+  void setSlots(std::uint32_t slots, std::uint32_t max_connections = 0);
   AdmissionVerdict offer(const AdmissionRequest& request, TimePoint now);
   /// A request that was dispatched at `begun` has ended; `answered` if the server answered it.
   void onFinished(TimePoint begun, bool answered, TimePoint now);
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -67,10 +67,22 @@
   return load;
 }
 
-void ProxyContext::reportServer() {
-  if (server.known()) {
-    admission.setSlots(server.heartbeat().slots);
+void ProxyContext::applyServerLimits() {
+  if (!server.known()) {
+    return;
+  }
+  std::uint32_t max_connections = 0;
+  if (traffic != nullptr) {
+    for (const ServiceDefinition& service : traffic->configuration.services) {
+      max_connections =
+          service.name == server.heartbeat().service ? service.max_connections : max_connections;
+    }
   }
+  admission.setSlots(server.heartbeat().slots, max_connections);
+}
+
+void ProxyContext::reportServer() {
+  applyServerLimits();
   if (on_server_changed) {
     on_server_changed();
   }
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -57,6 +57,8 @@
   RetryBudget& budget(const std::string& service);
   /// Begins waiting requests for which there is room now, and refuses those that waited too long.
   void pumpAdmission();
+  /// Takes over the slots and connections that the server beside it may use.
+  void applyServerLimits();
   /// The server beside it changed; tells whoever must know.
   void reportServer();
   [[nodiscard]] ServerLoad serverLoad() const;
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -193,6 +193,7 @@
     return;
   }
   context_.traffic = std::make_shared<const TrafficInForce>(session_.traffic());
+  context_.applyServerLimits();
   const RequestLimits& limits = session_.traffic().limits;
   HttpServerOptions options = clients_.options();
   options.max_header_bytes = static_cast<std::uint32_t>(limits.max_header_bytes);
--- a/tests/core/server_admission_test.cc
+++ b/tests/core/server_admission_test.cc
@@ -76,6 +76,14 @@
   EXPECT_EQ(admission.offer({3, 0, kPatience}, TimePoint(0)), AdmissionVerdict::kRefuse);
 }
 
+TEST(ServerAdmission, NeverMoreUnderWayThanConnections) {
+  ServerAdmission admission;
+  admission.setSlots(100, 10);
+  EXPECT_LE(admission.limit(), 10U);
+  admission.setSlots(5, 10);
+  EXPECT_LE(admission.limit(), 5U);
+}
+
 TEST(ServerAdmission, AServerThatTurnsSlowShowsBeforeItAnswers) {
   ServerAdmission admission;
   admission.setSlots(10);
--- a/tests/platform/forwarding_day_test.cc
+++ b/tests/platform/forwarding_day_test.cc
@@ -142,6 +142,16 @@
   EXPECT_LT(refused, kRequests);
 }
 
+TEST_F(ForwardingDay, LargeAnswersPassInFlatMemory) {
+  const Answer answer = day_.send(0, request("/one/large", "large"));
+  EXPECT_TRUE(answer.complete);
+  EXPECT_EQ(answer.body.size(), kLargeAnswerBytes);
+  for (const auto& program : day_.proxies) {
+    EXPECT_GT(program->peakMemoryKib(), 0U);
+    EXPECT_LT(program->peakMemoryKib(), kLargeAnswerBytes / 1024);
+  }
+}
+
 TEST_F(ForwardingDay, AChangeIsInForceEverywhereAndReadBackAsItWasPut) {
   EXPECT_EQ(day_.send(0, request("/second/x", "before")).status, 404);
   const std::string next = configurationDocument("00000005", "/second/");
--- a/tests/platform/stand_in.cc
+++ b/tests/platform/stand_in.cc
@@ -115,6 +115,18 @@
   ::kill(process_, number);
 }
 
+std::size_t Program::peakMemoryKib() const {
+  std::ifstream status("/proc/" + std::to_string(process_) + "/status");
+  for (std::string word; status >> word;) {
+    if (word == "VmHWM:") {
+      std::size_t kib = 0;
+      status >> kib;
+      return kib;
+    }
+  }
+  return 0;
+}
+
 bool Program::running() {
   if (process_ <= 0) {
     return false;
@@ -200,6 +212,10 @@
   runs[id] += 1;
   head.status = 200;
   head.fields.push_back({"Server-Stamp", "stamp-" + id});
+  if (request.target.find("/large") != std::string::npos) {
+    exchange->respond(std::move(head), std::string(kLargeAnswerBytes, 'x'));
+    return;
+  }
   exchange->respond(std::move(head),
                     service_ + " " + request.method + " " + request.target + " " + id + " " + body);
 }
--- a/tests/platform/stand_in.h
+++ b/tests/platform/stand_in.h
@@ -28,6 +28,8 @@
   void signal(int number) const;
   /// Whether it still runs; afterwards exitStatus() tells how it ended.
   bool running();
+  /// The most memory that it has held, in KiB.
+  [[nodiscard]] std::size_t peakMemoryKib() const;
   [[nodiscard]] int exitStatus() const { return exit_status_; }
 
  private:
@@ -63,6 +65,9 @@
   std::map<std::string, std::string> headers;
 };
 
+/// Length of an answer to a target that holds "/large".
+constexpr std::size_t kLargeAnswerBytes = 40U << 20U;
+
 /// A back end that reports itself, answers with what it was asked, and counts what it ran.
 class AppServer {
  public:
