--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -20,6 +20,9 @@
 constexpr std::size_t kMaximumTried = 4;
 // A request may wait for its server for this share of its goal: a refusal is cheap only early.
 constexpr std::int64_t kPatienceDivisor = 5;
+// A request for a service of which no server is known waits for this share of its goal.
+constexpr std::int64_t kServerWaitDivisor = 4;
+constexpr Duration kServerWaitInterval = milliseconds(20);
 constexpr Duration kLeastTimeForAttempt = milliseconds(10);
 // Told to whoever is refused: a third to two thirds of the goal, drawn so that those refused
 // together do not come back together.
@@ -38,7 +41,10 @@
 }
 
 ForwardedRequest::ForwardedRequest(ProxyContext& context, std::shared_ptr<ServerExchange> exchange)
-    : context_(context), exchange_(std::move(exchange)), deadline_timer_(context.loop) {}
+    : context_(context),
+      exchange_(std::move(exchange)),
+      deadline_timer_(context.loop),
+      wait_timer_(context.loop) {}
 
 void ForwardedRequest::start() {
   context_.counters.requests += 1;
@@ -84,9 +90,20 @@
   return true;
 }
 
+// Right after a restart no server may be known yet: whoever waits for one shortly is served within
+// its goal, while the parent of a refused call has run for nothing.
+bool ForwardedRequest::mayWaitForServer(TimePoint now) const {
+  return tried_.empty() && now - received_ < route_->goal / kServerWaitDivisor &&
+         timeLeft() > kLeastTimeForAttempt;
+}
+
 void ForwardedRequest::attempt() {
   const TimePoint now = EventLoop::now();
   instance_ = context_.directory.choose(service_, tried_, now);
+  if (instance_ == nullptr && mayWaitForServer(now)) {
+    wait_timer_.after(kServerWaitInterval, [this] { attempt(); });
+    return;
+  }
   if (instance_ == nullptr || tried_.size() >= kMaximumTried || timeLeft() < kLeastTimeForAttempt) {
     instance_ = nullptr;
     if (run_possible_) {
@@ -212,6 +229,7 @@
   }
   context_.counters.clients_gone += 1;
   over_ = true;
+  wait_timer_.cancel();
   deadline_timer_.cancel();
   if (upstream_ != nullptr) {
     upstream_->cancel();
@@ -225,6 +243,7 @@
     return;
   }
   const bool under_way = upstream_ != nullptr && upstream_->sent();
+  wait_timer_.cancel();
   if (upstream_ != nullptr) {
     upstream_->cancel();
   }
--- a/daemon/proxy/forwarded_request.h
+++ b/daemon/proxy/forwarded_request.h
@@ -41,6 +41,7 @@
 
   void start();
   bool admitHead();
+  [[nodiscard]] bool mayWaitForServer(TimePoint now) const;
   void attempt();
   void endAttempt();
   void afterAttempt(AttemptEnd end, const std::string& reason);
@@ -63,6 +64,7 @@
   KnownInstance* instance_ = nullptr;  ///< Of the attempt under way.
   std::set<std::string> tried_;
   LoopTimer deadline_timer_;
+  LoopTimer wait_timer_;  ///< Runs while no server is known.
   TimePoint received_{0};
   TimePoint deadline_{0};
   std::string body_;  ///< Held for a further attempt.
--- a/tests/platform/forwarding_day_test.cc
+++ b/tests/platform/forwarding_day_test.cc
@@ -219,6 +219,23 @@
   EXPECT_EQ(day_.servers[0]->runs.size(), before);
 }
 
+TEST_F(ForwardingDay, ARequestWaitsShortlyForAServerThatComesBack) {
+  day_.servers[1]->beat("draining");
+  day_.servers[3]->beat("draining");
+  day_.runFor(milliseconds(1500));
+  Answer result;
+  bool done = false;
+  day_.sendLater(0, request("/two/w", "wait"), [&](const Answer& answer) {
+    result = answer;
+    done = true;
+  });
+  day_.runFor(milliseconds(20));
+  day_.servers[1]->beat("ready");
+  EXPECT_TRUE(day_.runUntil([&] { return done; }));
+  EXPECT_EQ(result.status, 200);
+  EXPECT_EQ(runsOf("wait"), 1);
+}
+
 TEST_F(ForwardingDay, WithoutAServerTheRequestIsNotRunAndTheClientIsToldWhenToComeBack) {
   for (const std::size_t machine : {std::size_t{1}, std::size_t{3}}) {
     day_.servers[machine]->beat("draining");
