Connections to silent peers break after 1 s, and their daemons are asked last

Cause: requests sent to a daemon behind a cut waited for their deadlines (TCP user time-out of 4 s), and the next ones followed them onto its kept connections. Ruled out: shorter connect time-outs (the connections stood already).

--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -367,8 +367,10 @@
     exchange_->breakOff();
     return;
   }
-  if (failure == ClientFailure::kNotConnected) {
+  if (failure == ClientFailure::kNotConnected || failure == ClientFailure::kNoAnswer) {
     context_.directory.onUnreachable(*instance_, EventLoop::now());
+  }
+  if (failure == ClientFailure::kNotConnected) {
     afterAttempt(AttemptEnd::kNotSent, "not connected");
     return;
   }
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -12,6 +12,8 @@
 constexpr double kSavedRepeats = 3;
 constexpr Duration kServerConnectTimeout = milliseconds(1000);
 constexpr Duration kPeerConnectTimeout = milliseconds(300);
+// A peer whose machine is cut off acknowledges nothing: whoever may be repeated still has time.
+constexpr Duration kPeerUserTimeout = seconds(1);
 constexpr Duration kPeerIdle = seconds(20);
 
 HttpClientOptions serverPoolOptions(const ProxySettings& settings, const ExternalApi& api) {
@@ -42,6 +44,7 @@
     HttpClientOptions options;
     options.endpoint = parseEndpoint(daemon_address).value_or(Endpoint{"0.0.0.0", 1});
     options.connect_timeout = kPeerConnectTimeout;
+    options.user_timeout = kPeerUserTimeout;
     options.idle_timeout = kPeerIdle;
     options.id_header = api.headers().request_id;
     pool = std::make_unique<HttpClientPool>(loop, options);
--- a/net/stream/http_client.cc
+++ b/net/stream/http_client.cc
@@ -34,6 +34,7 @@
 
   void open(const std::shared_ptr<ClientExchange>& exchange, const HttpClientOptions& options) {
     exchange_ = exchange;
+    setUserTimeout(options.user_timeout);
     connect(options.endpoint, options.connect_timeout);
   }
   void begin(const std::shared_ptr<ClientExchange>& exchange);
--- a/net/stream/http_client.h
+++ b/net/stream/http_client.h
@@ -70,6 +70,7 @@
 struct HttpClientOptions {
   Endpoint endpoint;
   Duration connect_timeout = milliseconds(400);
+  Duration user_timeout = seconds(4);  ///< Sent bytes unacknowledged for this long: broken.
   Duration idle_timeout = seconds(4);  ///< Unless the peer tells a shorter one.
   std::size_t max_idle = 256;
   std::string id_header;  ///< Names the header whose value must come back.
