A server that leaves requests unanswered costs more in the choice

The daemon beside a server now tells the share of recent requests that got no answer in time, and the choice weighs it by 8. Ruled out: ejecting such a server (the others may have no room; a cost keeps it in use under load).

--- a/core/instance_directory.cc
+++ b/core/instance_directory.cc
@@ -17,6 +17,10 @@
 constexpr double kRefusedCost = 10;
 constexpr double kStoppingCost = 50;
 constexpr double kUnreachableCost = 100;
+// A server that loses a quarter of its answers costs as much as one that is twice as full: most of
+// its requests go elsewhere while others have room.
+constexpr double kUnansweredWeight = 8;
+constexpr double kThousand = 1000;
 // Equals are taken in turn.
 constexpr double kTieBreak = 0.02;
 constexpr Duration kRefusalRemembered = milliseconds(100);
@@ -86,6 +90,9 @@
     slowness = std::max(1.0, ratio / kOrdinarySpeedRatio);
   }
   double cost = slowness * (kIdleCost + utilization(instance));
+  if (service_time) {
+    cost *= 1 + kUnansweredWeight * instance.load.unanswered_permille / kThousand;
+  }
   cost *= instance.record.zone == options_.zone ? kOwnZoneRebate : 1.0;
   cost += instance.refused_until > now ? kRefusedCost : 0;
   cost += instance.record.state == InstanceState::kStopping ? kStoppingCost : 0;
--- a/core/instance_directory.h
+++ b/core/instance_directory.h
@@ -24,7 +24,8 @@
   std::uint32_t limit = 0;      ///< Requests that it lets the server work on at a time.
   std::uint32_t under_way = 0;  ///< Requests that the server works on.
   std::uint32_t waiting = 0;
-  Duration service_time{0};  ///< Smoothed.
+  Duration service_time{0};               ///< Smoothed.
+  std::uint32_t unanswered_permille = 0;  ///< Recent requests that got no answer.
 };
 
 /// A server as the directory knows it. Pointers stay valid for the life of the directory.
--- a/core/server_admission.cc
+++ b/core/server_admission.cc
@@ -62,6 +62,15 @@
   }
 }
 
+void ServerAdmission::onOutcome(bool answered) {
+  unanswered_ += ((answered ? 0.0 : 1.0) - unanswered_) / static_cast<double>(kSmoothing);
+}
+
+std::uint32_t ServerAdmission::unansweredPermille() const {
+  constexpr double kThousand = 1000;
+  return static_cast<std::uint32_t>(unanswered_ * kThousand);
+}
+
 Duration ServerAdmission::serviceTime(TimePoint now) const {
   if (under_way_ == 0) {
     return service_time_;
--- a/core/server_admission.h
+++ b/core/server_admission.h
@@ -42,6 +42,11 @@
   AdmissionVerdict offer(const AdmissionRequest& request, TimePoint now);
   /// A request that was dispatched at `begun` has ended; `answered` if the server answered it.
   void onFinished(TimePoint begun, bool answered, TimePoint now);
+  /// Whether the server gave a dispatched request an answer in time. Not told of requests whose
+  /// caller lost interest.
+  void onOutcome(bool answered);
+  /// Share of recent requests that got no answer, in thousandths.
+  [[nodiscard]] std::uint32_t unansweredPermille() const;
   /// A waiting request was withdrawn by its caller.
   void withdraw(AdmissionId id);
   /// The next waiting request that may be dispatched now; counts as dispatched.
@@ -81,6 +86,7 @@
   std::map<Position, Waiting> waiting_;
   std::map<AdmissionId, Position> positions_;
   Duration service_time_ = milliseconds(50);
+  double unanswered_ = 0;  ///< Smoothed share.
   Duration begun_sum_{0};  ///< Sum of the times at which those under way were dispatched.
   AdmissionCounters counters_;
 };
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -12,6 +12,8 @@
 constexpr int kMisdirected = 421;
 constexpr Duration kDefaultTimeLeft = seconds(60);
 // The server gives an answer at its deadline only if something is left to work with.
+// The daemon that sent a request gives it up at its deadline, a moment before ours.
+constexpr Duration kDeadlineMargin = milliseconds(20);
 constexpr Duration kLeastTimeLeft = milliseconds(2);
 
 bool bodiless(int status) {
@@ -189,6 +191,9 @@
   const State before = state_;
   done();
   if (before == State::kRunning && upstream_ != nullptr) {
+    if (EventLoop::now() + kDeadlineMargin >= deadline_) {
+      context_.admission.onOutcome(false);
+    }
     upstream_->cancel();
     finishServerWork(false);
   }
@@ -246,6 +251,7 @@
     done();
     exchange->finish();
   }
+  context_.admission.onOutcome(true);
   finishServerWork(!discarding_);
 }
 
@@ -255,6 +261,7 @@
   }
   const auto self = shared_from_this();
   context_.counters.server_failures += 1;
+  context_.admission.onOutcome(false);
   if (failure == ClientFailure::kNotConnected) {
     // Nobody listens: the server has ended without a word, until it is heard again.
     if (context_.server.onWrongInstance(instance_id_)) {
--- a/daemon/proxy/peer_headers.cc
+++ b/daemon/proxy/peer_headers.cc
@@ -24,14 +24,15 @@
 
 std::string formatLoad(const ServerLoad& load) {
   return std::to_string(load.limit) + "/" + std::to_string(load.under_way) + "/" +
-         std::to_string(load.waiting) + "/" + std::to_string(load.service_time.count());
+         std::to_string(load.waiting) + "/" + std::to_string(load.service_time.count()) + "/" +
+         std::to_string(load.unanswered_permille);
 }
 
 std::optional<ServerLoad> parseLoad(const std::string* text) {
   if (text == nullptr) {
     return std::nullopt;
   }
-  std::array<std::uint64_t, 4> numbers{};
+  std::array<std::uint64_t, 5> numbers{};
   const char* position = text->c_str();
   for (std::uint64_t& number : numbers) {
     char* end = nullptr;
@@ -46,6 +47,7 @@
   load.under_way = static_cast<std::uint32_t>(numbers[1]);
   load.waiting = static_cast<std::uint32_t>(numbers[2]);
   load.service_time = Duration(static_cast<std::int64_t>(numbers[3]));
+  load.unanswered_permille = static_cast<std::uint32_t>(numbers[4]);
   return load;
 }
 
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -67,6 +67,7 @@
   load.under_way = static_cast<std::uint32_t>(admission.underWay());
   load.waiting = static_cast<std::uint32_t>(admission.waiting());
   load.service_time = admission.serviceTime(EventLoop::now());
+  load.unanswered_permille = admission.unansweredPermille();
   return load;
 }
 
--- a/tests/core/instance_directory_test.cc
+++ b/tests/core/instance_directory_test.cc
@@ -38,8 +38,8 @@
   directory_.offer(record("far", "zone-b"));
   directory_.offer(record("near", "zone-a"));
   EXPECT_EQ(choose(), "near");
-  directory_.onLoad(find("near"), {10, 9, 0, milliseconds(10)}, now_);
-  directory_.onLoad(find("far"), {10, 1, 0, milliseconds(10)}, now_);
+  directory_.onLoad(find("near"), {10, 9, 0, milliseconds(10), 0}, now_);
+  directory_.onLoad(find("far"), {10, 1, 0, milliseconds(10), 0}, now_);
   EXPECT_EQ(choose(), "far");
   EXPECT_EQ(choose({"far"}), "near");
   EXPECT_EQ(choose({"far", "near"}), "");
@@ -48,15 +48,25 @@
 TEST_F(InstanceDirectoryTest, ASlowServerIsAvoidedAndAskedAgainLater) {
   directory_.offer(record("far", "zone-b"));
   directory_.offer(record("near", "zone-a"));
-  directory_.onLoad(find("near"), {10, 2, 0, milliseconds(20)}, now_);
-  directory_.onLoad(find("far"), {10, 2, 0, milliseconds(10)}, now_);
+  directory_.onLoad(find("near"), {10, 2, 0, milliseconds(20), 0}, now_);
+  directory_.onLoad(find("far"), {10, 2, 0, milliseconds(10), 0}, now_);
   EXPECT_EQ(choose(), "near");  // Twice as slow is nothing out of the ordinary.
-  directory_.onLoad(find("near"), {10, 2, 0, milliseconds(120)}, now_);
+  directory_.onLoad(find("near"), {10, 2, 0, milliseconds(120), 0}, now_);
   EXPECT_EQ(choose(), "far");
   now_ += seconds(3);
   EXPECT_EQ(choose(), "near");
 }
 
+TEST_F(InstanceDirectoryTest, AServerThatLosesAnswersIsAvoidedWhileOthersHaveRoom) {
+  directory_.offer(record("far", "zone-b"));
+  directory_.offer(record("near", "zone-a"));
+  directory_.onLoad(find("near"), {10, 2, 0, milliseconds(10), 300}, now_);
+  directory_.onLoad(find("far"), {10, 2, 0, milliseconds(10), 0}, now_);
+  EXPECT_EQ(choose(), "far");
+  directory_.onLoad(find("far"), {10, 10, 9, milliseconds(10), 0}, now_);
+  EXPECT_EQ(choose(), "near");
+}
+
 TEST_F(InstanceDirectoryTest, LeavingServersAndOtherServicesAreNeverChosen) {
   directory_.offer(record("near", "zone-a", InstanceState::kDraining));
   InstanceRecord other = record("far", "zone-b");
--- a/tests/core/server_admission_test.cc
+++ b/tests/core/server_admission_test.cc
@@ -76,6 +76,18 @@
   EXPECT_EQ(admission.offer({3, 0, kPatience}, TimePoint(0)), AdmissionVerdict::kRefuse);
 }
 
+TEST(ServerAdmission, LostAnswersShowAndAreForgotten) {
+  ServerAdmission admission;
+  for (int lost = 0; lost < 50; ++lost) {
+    admission.onOutcome(lost % 2 == 0);
+  }
+  EXPECT_GT(admission.unansweredPermille(), 300U);
+  for (int answered = 0; answered < 100; ++answered) {
+    admission.onOutcome(true);
+  }
+  EXPECT_LT(admission.unansweredPermille(), 10U);
+}
+
 TEST(ServerAdmission, NeverMoreUnderWayThanConnections) {
   ServerAdmission admission;
   admission.setSlots(100, 10);
