Sockets are counted: idle connections yield when they run short, and a lack of them blames no server

Ruled out: overload (nothing was refused for want of room from 20 s on), a full accept queue (refused within 3 ms), lost heartbeats. Change: the loop counts its sockets against the descriptors of the settings; from 75% idle connections are closed instead of kept, at 95% nothing new is opened; a connection that fails for want of a socket says nothing of the peer; a refused one ends the server only if no other connection to it stands.

--- a/core/local_server.cc
+++ b/core/local_server.cc
@@ -50,6 +50,10 @@
   return true;
 }
 
+bool LocalServer::onConnectionRefused(const std::string& instance_id, std::size_t established) {
+  return established == 0 && onWrongInstance(instance_id);
+}
+
 FenceVerdict LocalServer::admit(const std::string& instance_id, const std::string& service,
                                 TimePoint now) const {
   if (!known_) {
--- a/core/local_server.h
+++ b/core/local_server.h
@@ -47,6 +47,11 @@
   /// The server said that it is another instance than the one last heard.
   bool onWrongInstance(const std::string& instance_id);
 
+  /// The server's address refused a connection while `established` others to it stood. Without any
+  /// the instance has ended without a word; one that holds some takes no more just now. Returns
+  /// whether it is taken to have ended.
+  bool onConnectionRefused(const std::string& instance_id, std::size_t established);
+
   [[nodiscard]] FenceVerdict admit(const std::string& instance_id, const std::string& service,
                                    TimePoint now) const;
   [[nodiscard]] bool known() const { return known_; }
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -367,10 +367,16 @@
     exchange_->breakOff();
     return;
   }
-  if (failure == ClientFailure::kNotConnected || failure == ClientFailure::kNoAnswer) {
+  if (failure == ClientFailure::kNoSocket) {
+    afterAttempt(AttemptEnd::kNotSent, "no socket");
+    return;
+  }
+  const bool not_connected =
+      failure == ClientFailure::kNotConnected || failure == ClientFailure::kRefused;
+  if (not_connected || failure == ClientFailure::kNoAnswer) {
     context_.directory.onUnreachable(*instance_, EventLoop::now());
   }
-  if (failure == ClientFailure::kNotConnected) {
+  if (not_connected) {
     afterAttempt(AttemptEnd::kNotSent, "not connected");
     return;
   }
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -255,19 +255,29 @@
   finishServerWork(!discarding_);
 }
 
+void InboundRequest::onServerRefusedConnection() {
+  const std::size_t established = context_.server_pool.established();
+  if (context_.server.onConnectionRefused(instance_id_, established)) {
+    context_.reportServer();
+  }
+  refuse(established > 0 ? kOutcomeBusy : kOutcomeFenced, "no connection", kUnavailable);
+}
+
 void InboundRequest::onRequestFailed(ClientFailure failure) {
   if (state_ != State::kRunning) {
     return;
   }
   const auto self = shared_from_this();
   context_.counters.server_failures += 1;
-  context_.admission.onOutcome(false);
-  if (failure == ClientFailure::kNotConnected) {
-    // Nobody listens: the server has ended without a word, until it is heard again.
-    if (context_.server.onWrongInstance(instance_id_)) {
-      context_.reportServer();
-    }
-    refuse(kOutcomeFenced, "no connection", kUnavailable);
+  if (failure != ClientFailure::kNoSocket) {
+    context_.admission.onOutcome(false);
+  }
+  if (failure == ClientFailure::kNoSocket) {
+    refuse(kOutcomeBusy, "no socket", kUnavailable);
+  } else if (failure == ClientFailure::kNotConnected) {
+    refuse(kOutcomeBusy, "no connection", kUnavailable);
+  } else if (failure == ClientFailure::kRefused) {
+    onServerRefusedConnection();
   } else if (exchange_->headSent()) {
     const auto exchange = exchange_;
     done();
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -42,6 +42,7 @@
   bool refuseIfFenced();
   void refuse(std::string_view outcome, const std::string& reason, int status);
   void finishServerWork(bool answered);
+  void onServerRefusedConnection();
   void done();
 
   ProxyContext& context_;
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -20,6 +20,7 @@
   HttpClientOptions options;
   options.endpoint = settings.server_address;
   options.connect_timeout = kServerConnectTimeout;
+  options.keep_when_scarce = true;  // A new connection costs the server a slot for a moment.
   options.id_header = api.headers().request_id;
   return options;
 }
@@ -36,7 +37,11 @@
       directory({settings.zone, seed}),
       server(bounds.drain_timeout / kDrainingAdmissionDivisor),
       server_pool(event_loop, serverPoolOptions(settings, external)),
-      admission_timer(event_loop) {}
+      admission_timer(event_loop) {
+  if (settings.max_descriptors > 0) {
+    loop.sockets().limit({settings.max_descriptors});
+  }
+}
 
 HttpClientPool& ProxyContext::peer(const std::string& daemon_address) {
   auto& pool = peers[daemon_address];
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -294,6 +294,7 @@
             {"server_failures", text(counters.server_failures)},
             {"server_connections", text(context_.server_pool.counters().connections_opened)},
             {"surplus", text(context_.server_pool.counters().surplus_answers)},
+            {"sockets", text(loop_.sockets().open().value)},
             {"under_way", text(context_.admission.underWay())},
             {"waiting", text(context_.admission.waiting())},
             {"service_us", text(static_cast<std::uint64_t>(
--- a/daemon/proxy/proxy_settings.cc
+++ b/daemon/proxy/proxy_settings.cc
@@ -4,6 +4,7 @@
 namespace {
 
 constexpr IntegerRange kPortRange = {1, 65535};
+constexpr IntegerRange kDescriptorRange = {64, 10'000'000};
 
 }  // namespace
 
@@ -22,6 +23,8 @@
   settings.seeds = root.strings("seeds");
   settings.member_port =
       static_cast<std::uint16_t>(root.requiredInteger("member_port", kPortRange));
+  settings.max_descriptors =
+      static_cast<std::uint32_t>(root.optionalInteger("max_descriptors", 0, kDescriptorRange));
   settings.bounds = root.strings("bounds");
   for (const std::string& seed : settings.seeds) {
     if (!parseEndpoint(seed)) {
--- a/daemon/proxy/proxy_settings.h
+++ b/daemon/proxy/proxy_settings.h
@@ -12,15 +12,16 @@
 struct ProxySettings {
   std::string name;
   std::string zone;
-  std::string service;              ///< Of the server beside the daemon.
-  Endpoint client_address;          ///< Clients of this machine and its server send requests here.
-  Endpoint peer_address;            ///< Other daemons send requests for the server beside it here.
-  Endpoint readiness_address;       ///< The platform asks here.
-  Endpoint report_address;          ///< The server beside it reports here.
-  Endpoint server_address;          ///< Where that server takes requests.
-  std::vector<std::string> seeds;   ///< HOST:PORT of some control members' operator ports.
-  std::uint16_t member_port = 0;    ///< Where control members talk to daemons, on every machine.
-  std::vector<std::string> bounds;  ///< As the platform writes them; see ExternalApi.
+  std::string service;             ///< Of the server beside the daemon.
+  Endpoint client_address;         ///< Clients of this machine and its server send requests here.
+  Endpoint peer_address;           ///< Other daemons send requests for the server beside it here.
+  Endpoint readiness_address;      ///< The platform asks here.
+  Endpoint report_address;         ///< The server beside it reports here.
+  Endpoint server_address;         ///< Where that server takes requests.
+  std::vector<std::string> seeds;  ///< HOST:PORT of some control members' operator ports.
+  std::uint16_t member_port = 0;   ///< Where control members talk to daemons, on every machine.
+  std::uint32_t max_descriptors = 0;  ///< That the process may hold; 0 for no limit.
+  std::vector<std::string> bounds;    ///< As the platform writes them; see ExternalApi.
 };
 
 /// Reads `path`. On an error gives nothing and sets `error`.
--- a/net/stream/event_loop.h
+++ b/net/stream/event_loop.h
@@ -10,6 +10,7 @@
 #include <memory>
 
 #include "core/time.h"
+#include "net/stream/socket_quota.h"
 
 namespace ramppond {
 
@@ -31,10 +32,13 @@
   void post(std::function<void()> work);
   /// Where connections read to; holds bytes only within one handler.
   std::array<char, 65536>& scratch() { return scratch_; }
+  /// The sockets of all connections on this loop.
+  socket_quota& sockets() { return sockets_; }
 
  private:
   boost::asio::io_context context_;
   std::array<char, 65536> scratch_{};
+  socket_quota sockets_;
 };
 
 /// A timer that calls back on the loop. Destroying or setting it anew cancels what was set.
--- a/net/stream/frame_channel.cc
+++ b/net/stream/frame_channel.cc
@@ -154,7 +154,7 @@
 
  private:
   void onConnected() override { startReading(); }
-  void onConnectFailed() override { lost(); }
+  void onConnectFailed(ConnectFailure /*failure*/) override { lost(); }
   void onData(std::string_view bytes) override {
     const bool valid = reader_.feed(bytes, [this](const Frame& frame) {
       if (channel_ != nullptr) {
--- a/net/stream/http_client.cc
+++ b/net/stream/http_client.cc
@@ -42,13 +42,14 @@
   void leavePool() {
     if (in_pool_ && *pool_alive_) {
       pool_.open_ -= 1;
+      pool_.established_ -= established_ ? 1 : 0;
     }
     in_pool_ = false;
   }
 
  private:
   void onConnected() override;
-  void onConnectFailed() override;
+  void onConnectFailed(ConnectFailure failure) override;
   void onData(std::string_view bytes) override;
   void onEnd(ConnectionEnd end) override;
   void onDrained() override;
@@ -65,6 +66,7 @@
   HttpClientPool& pool_;
   std::shared_ptr<bool> pool_alive_;
   bool in_pool_ = true;
+  bool established_ = false;
   std::shared_ptr<ClientExchange> exchange_;
   std::unique_ptr<HttpParser> parser_;
   std::string input_;
@@ -99,16 +101,30 @@
     abort(false);
     return;
   }
+  if (in_pool_ && *pool_alive_) {
+    established_ = true;
+    pool_.established_ += 1;
+  }
   begin(exchange_);
   startReading();
 }
 
-void HttpClientConnection::onConnectFailed() {
+void HttpClientConnection::onConnectFailed(ConnectFailure failure) {
   leavePool();
   if (*pool_alive_) {
     pool_.counters_.connections_failed += 1;
   }
-  fail(ClientFailure::kNotConnected);
+  switch (failure) {
+    case ConnectFailure::kNoSocket:
+      fail(ClientFailure::kNoSocket);
+      return;
+    case ConnectFailure::kTimedOut:
+      fail(ClientFailure::kNotConnected);
+      return;
+    case ConnectFailure::kRefused:
+      fail(ClientFailure::kRefused);
+      return;
+  }
 }
 
 void HttpClientConnection::onData(std::string_view bytes) {
@@ -370,7 +386,8 @@
 
 void HttpClientPool::release(const std::shared_ptr<HttpClientConnection>& connection,
                              Duration keep) {
-  if (keep <= kIdleMargin || idle_.size() >= options_.max_idle) {
+  const bool scarce = loop_.sockets().is_scarce() && !options_.keep_when_scarce;
+  if (keep <= kIdleMargin || idle_.size() >= options_.max_idle || scarce) {
     connection->closeGracefully();
     connection->leavePool();
     return;
@@ -385,6 +402,10 @@
 }
 
 void HttpClientPool::sweep() {
+  if (loop_.sockets().is_scarce() && !options_.keep_when_scarce) {
+    closeIdle();
+    return;
+  }
   const TimePoint now = EventLoop::now();
   for (auto idle = idle_.begin(); idle != idle_.end();) {
     if (idle->until > now) {
--- a/net/stream/http_client.h
+++ b/net/stream/http_client.h
@@ -22,7 +22,9 @@
 
 /// How far a failed request got.
 enum class ClientFailure : std::uint8_t {
-  kNotConnected,   ///< Nothing was sent: provably not run.
+  kNoSocket,       ///< This process has no socket left; nothing was sent.
+  kNotConnected,   ///< The peer did not answer the connection; nothing was sent: provably not run.
+  kRefused,        ///< The peer refused the connection; nothing was sent: provably not run.
   kNoAnswer,       ///< It was sent and the connection ended before an answer: unknown.
   kInvalidAnswer,  ///< What came is not an answer to it: unknown.
   kBrokenAnswer,   ///< The answer broke off after its head was told.
@@ -73,7 +75,8 @@
   Duration user_timeout = seconds(4);  ///< Sent bytes unacknowledged for this long: broken.
   Duration idle_timeout = seconds(4);  ///< Unless the peer tells a shorter one.
   std::size_t max_idle = 256;
-  std::string id_header;  ///< Names the header whose value must come back.
+  bool keep_when_scarce = false;  ///< Idle connections stay when the process is short of sockets.
+  std::string id_header;          ///< Names the header whose value must come back.
 };
 
 struct HttpClientCounters {
@@ -94,12 +97,15 @@
   std::shared_ptr<ClientExchange> start(const HttpHead& head, BodyFraming framing,
                                         std::string_view body, bool body_complete,
                                         const std::shared_ptr<ClientHandler>& handler);
-  /// Closes idle connections that have rested too long; call about once a second.
+  /// Closes idle connections that have rested too long, or all when sockets are scarce; call about
+  /// once a second.
   void sweep();
   /// Closes all idle connections.
   void closeIdle();
   [[nodiscard]] std::size_t idle() const { return idle_.size(); }
   [[nodiscard]] std::size_t open() const { return open_; }
+  /// Connections that stand, idle ones included.
+  [[nodiscard]] std::size_t established() const { return established_; }
   [[nodiscard]] const HttpClientCounters& counters() const { return counters_; }
   [[nodiscard]] const HttpClientOptions& options() const { return options_; }
 
@@ -116,6 +122,7 @@
   HttpClientOptions options_;
   std::deque<Idle> idle_;  ///< The one used last is at the back.
   std::size_t open_ = 0;
+  std::size_t established_ = 0;
   HttpClientCounters counters_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/net/stream/http_server.cc
+++ b/net/stream/http_server.cc
@@ -304,7 +304,7 @@
     until_close_ = true;
   }
   const bool last = connection_->lastBegun(this);
-  const bool draining = close_wanted_ || connection_->server().draining();
+  const bool draining = close_wanted_ || connection_->server().shouldClose();
   close_announced_ = until_close_ || !request_.keep_alive || (draining && last);
   if (close_announced_) {
     connection_->stopTakingRequests();
--- a/net/stream/http_server.h
+++ b/net/stream/http_server.h
@@ -123,6 +123,8 @@
   /// From now on every answer ends its connection when no other request has begun on it.
   void drain() { draining_ = true; }
   [[nodiscard]] bool draining() const { return draining_; }
+  /// Whether connections should end with their next answer.
+  [[nodiscard]] bool shouldClose() const { return draining_ || loop_.sockets().is_scarce(); }
   /// Requests that are not answered yet.
   [[nodiscard]] std::size_t underWay() const { return under_way_; }
   [[nodiscard]] std::size_t connections() const { return connections_.size(); }
--- a/net/stream/tcp_connection.cc
+++ b/net/stream/tcp_connection.cc
@@ -29,9 +29,26 @@
 
 TcpConnection::TcpConnection(EventLoop& loop, Tcp::socket socket)
     : loop_(loop), socket_(std::move(socket)), timer_(loop), connected_(true) {
+  countSocket();
   applySocketOptions();
 }
 
+TcpConnection::~TcpConnection() {
+  uncountSocket();
+}
+
+void TcpConnection::countSocket() {
+  counted_ = true;
+  loop_.sockets().on_opened();
+}
+
+void TcpConnection::uncountSocket() {
+  if (counted_) {
+    counted_ = false;
+    loop_.sockets().on_closed();
+  }
+}
+
 void TcpConnection::applySocketOptions() {
   boost::system::error_code ignored;
   socket_.non_blocking(true, ignored);
@@ -54,18 +71,20 @@
 void TcpConnection::connect(const Endpoint& endpoint, Duration timeout) {
   boost::system::error_code error;
   const auto address = boost::asio::ip::make_address_v4(endpoint.host, error);
-  if (!error) {
+  const bool exhausted = loop_.sockets().is_exhausted();
+  if (!error && !exhausted) {
     socket_.open(Tcp::v4(), error);
   }
-  if (error) {
+  if (error || exhausted) {
     closed_ = true;
-    loop_.post([self = shared_from_this()] { self->onConnectFailed(); });
+    loop_.post([self = shared_from_this()] { self->onConnectFailed(ConnectFailure::kNoSocket); });
     return;
   }
+  countSocket();
   applySocketOptions();
   timer_.after(timeout, [this] {
     closeSocket();
-    onConnectFailed();
+    onConnectFailed(ConnectFailure::kTimedOut);
   });
   socket_.async_connect(
       Tcp::endpoint(address, endpoint.port),
@@ -76,7 +95,7 @@
         timer_.cancel();
         if (failure) {
           closeSocket();
-          onConnectFailed();
+          onConnectFailed(ConnectFailure::kRefused);
           return;
         }
         connected_ = true;
@@ -285,6 +304,7 @@
   timer_.cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
+  uncountSocket();
 }
 
 }  // namespace ramppond
--- a/net/stream/tcp_connection.h
+++ b/net/stream/tcp_connection.h
@@ -20,11 +20,18 @@
   kBroken,        ///< Reset, timed out, or another error.
 };
 
+/// Why a connection could not be made.
+enum class ConnectFailure : std::uint8_t {
+  kNoSocket,  ///< This process has no socket left for it; says nothing about the peer.
+  kTimedOut,  ///< The peer said nothing.
+  kRefused,   ///< Nobody listens there, or what listens takes no more.
+};
+
 class TcpConnection : public std::enable_shared_from_this<TcpConnection> {
  public:
   explicit TcpConnection(EventLoop& loop);
   TcpConnection(EventLoop& loop, boost::asio::ip::tcp::socket socket);
-  virtual ~TcpConnection() = default;
+  virtual ~TcpConnection();
   TcpConnection(const TcpConnection&) = delete;
   TcpConnection& operator=(const TcpConnection&) = delete;
 
@@ -53,7 +60,7 @@
   void connect(const Endpoint& endpoint, Duration timeout);
 
   virtual void onConnected() {}
-  virtual void onConnectFailed() {}
+  virtual void onConnectFailed(ConnectFailure /*failure*/) {}
   virtual void onData(std::string_view bytes) = 0;
   /// Called at most once, and not after abort() or closeGracefully().
   virtual void onEnd(ConnectionEnd end) = 0;
@@ -71,6 +78,8 @@
   void waitWritable();
   void afterFlush();
   void closeSocket();
+  void countSocket();
+  void uncountSocket();
 
   EventLoop& loop_;
   boost::asio::ip::tcp::socket socket_;
@@ -87,6 +96,7 @@
   bool was_congested_ = false;
   bool closing_ = false;
   bool closed_ = false;
+  bool counted_ = false;  ///< Among the loop's sockets.
 };
 
 }  // namespace ramppond
--- a/tests/core/local_server_test.cc
+++ b/tests/core/local_server_test.cc
@@ -72,5 +72,14 @@
   EXPECT_EQ(server.admit("a", "desk", TimePoint(0)), FenceVerdict::kAdmit);
 }
 
+TEST(LocalServer, ARefusedConnectionEndsAnInstanceOnlyIfNoOtherStands) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(heartbeat("a", 1), TimePoint(0));
+  EXPECT_FALSE(server.onConnectionRefused("a", 3));
+  EXPECT_EQ(server.admit("a", "desk", TimePoint(0)), FenceVerdict::kAdmit);
+  EXPECT_TRUE(server.onConnectionRefused("a", 0));
+  EXPECT_EQ(server.admit("a", "desk", TimePoint(0)), FenceVerdict::kNoServer);
+}
+
 }  // namespace
 }  // namespace ramppond
