A server's own errors count as failures in the choice, and not as fast work

Some servers fail at once while their health is good (srv_lying_health, srv_grey). Their errors counted as answers in time: they had the shortest service time, which made every sound server look slow beside them, and drew the service's calls. Ruled out: refusals (none for want of room in those seconds), lost connections (129 in 6 s). Change: one outcome per dispatched request tells the admission both whether it was work and whether it was a failure; a refusal by the server counts as a failure too; the choice looks at what a server fails beyond the median of its service, since calls that all of them make may fail alike.

--- a/core/instance_directory.cc
+++ b/core/instance_directory.cc
@@ -17,9 +17,10 @@
 constexpr double kRefusedCost = 10;
 constexpr double kStoppingCost = 50;
 constexpr double kUnreachableCost = 100;
-// A server that loses a quarter of its answers costs as much as one that is twice as full: most of
-// its requests go elsewhere while others have room.
-constexpr double kUnansweredWeight = 8;
+// A server that fails a quarter of its requests costs as much as one that is twice as full: most of
+// its requests go elsewhere while others have room. Only what it fails beyond the median of its
+// service counts: calls that all of them make may fail too.
+constexpr double kFailedWeight = 8;
 constexpr double kThousand = 1000;
 // Equals are taken in turn.
 constexpr double kTieBreak = 0.02;
@@ -81,17 +82,38 @@
   return recent ? std::optional<Duration>(instance.load.service_time) : std::nullopt;
 }
 
-double InstanceDirectory::cost(const KnownInstance& instance, Duration fastest, TimePoint now) {
+InstanceDirectory::ServiceBaseline InstanceDirectory::baselineOf(
+    const std::vector<KnownInstance*>& instances, TimePoint now) {
+  ServiceBaseline baseline;
+  std::vector<std::uint32_t> failed;
+  for (const KnownInstance* instance : instances) {
+    const auto service_time = recentServiceTime(*instance, now);
+    if (!service_time) {
+      continue;
+    }
+    baseline.fastest = std::min(baseline.fastest.value_or(*service_time), *service_time);
+    failed.push_back(instance->load.failed_permille);
+  }
+  if (!failed.empty()) {
+    const auto median = failed.begin() + static_cast<std::ptrdiff_t>((failed.size() - 1) / 2);
+    std::nth_element(failed.begin(), median, failed.end());
+    baseline.median_failed_permille = *median;
+  }
+  return baseline;
+}
+
+double InstanceDirectory::cost(const KnownInstance& instance, const ServiceBaseline& baseline,
+                               TimePoint now) {
   const auto service_time = recentServiceTime(instance, now);
-  double slowness = 1;
-  if (service_time && fastest > Duration(0)) {
+  double cost = kIdleCost + utilization(instance);
+  if (service_time && baseline.fastest && *baseline.fastest > Duration(0)) {
     const double ratio =
-        static_cast<double>(service_time->count()) / static_cast<double>(fastest.count());
-    slowness = std::max(1.0, ratio / kOrdinarySpeedRatio);
+        static_cast<double>(service_time->count()) / static_cast<double>(baseline.fastest->count());
+    cost *= std::max(1.0, ratio / kOrdinarySpeedRatio);
   }
-  double cost = slowness * (kIdleCost + utilization(instance));
-  if (service_time) {
-    cost *= 1 + kUnansweredWeight * instance.load.unanswered_permille / kThousand;
+  if (service_time && instance.load.failed_permille > baseline.median_failed_permille) {
+    const std::uint32_t excess = instance.load.failed_permille - baseline.median_failed_permille;
+    cost *= 1 + kFailedWeight * excess / kThousand;
   }
   cost *= instance.record.zone == options_.zone ? kOwnZoneRebate : 1.0;
   cost += instance.refused_until > now ? kRefusedCost : 0;
@@ -107,18 +129,17 @@
     return nullptr;
   }
   std::vector<KnownInstance*> candidates;
-  Duration fastest = Duration::max();
   for (const std::string& daemon : found->second) {
     KnownInstance& instance = by_daemon_.at(daemon);
     if (usable(instance, service, excluded, now)) {
       candidates.push_back(&instance);
-      fastest = std::min(fastest, recentServiceTime(instance, now).value_or(fastest));
     }
   }
+  const ServiceBaseline baseline = baselineOf(candidates, now);
   KnownInstance* best = nullptr;
   double best_cost = 0;
   for (KnownInstance* candidate : candidates) {
-    const double candidate_cost = cost(*candidate, fastest, now);
+    const double candidate_cost = cost(*candidate, baseline, now);
     if (best == nullptr || candidate_cost < best_cost) {
       best = candidate;
       best_cost = candidate_cost;
--- a/core/instance_directory.h
+++ b/core/instance_directory.h
@@ -24,8 +24,8 @@
   std::uint32_t limit = 0;      ///< Requests that it lets the server work on at a time.
   std::uint32_t under_way = 0;  ///< Requests that the server works on.
   std::uint32_t waiting = 0;
-  Duration service_time{0};               ///< Smoothed.
-  std::uint32_t unanswered_permille = 0;  ///< Recent requests that got no answer.
+  Duration service_time{0};           ///< Smoothed.
+  std::uint32_t failed_permille = 0;  ///< Recent requests that it failed or left unanswered.
 };
 
 /// A server as the directory knows it. Pointers stay valid for the life of the directory.
@@ -70,7 +70,14 @@
   [[nodiscard]] static double utilization(const KnownInstance& instance);
   [[nodiscard]] static std::optional<Duration> recentServiceTime(const KnownInstance& instance,
                                                                  TimePoint now);
-  double cost(const KnownInstance& instance, Duration fastest, TimePoint now);
+  /// What is ordinary among the servers of one service that told their load lately.
+  struct ServiceBaseline {
+    std::optional<Duration> fastest;           ///< The shortest service time.
+    std::uint32_t median_failed_permille = 0;  ///< The lower median.
+  };
+  [[nodiscard]] static ServiceBaseline baselineOf(const std::vector<KnownInstance*>& instances,
+                                                  TimePoint now);
+  double cost(const KnownInstance& instance, const ServiceBaseline& baseline, TimePoint now);
   [[nodiscard]] bool usable(const KnownInstance& instance, const std::string& service,
                             const std::set<std::string>& excluded, TimePoint now) const;
 
--- a/core/server_admission.cc
+++ b/core/server_admission.cc
@@ -51,24 +51,24 @@
   return AdmissionVerdict::kWait;
 }
 
-void ServerAdmission::onFinished(TimePoint begun, bool answered, TimePoint now) {
+void ServerAdmission::onFinished(TimePoint begun, ServerOutcome outcome, TimePoint now) {
   if (under_way_ == 0) {
     return;
   }
   under_way_ -= 1;
   begun_sum_ -= begun;
-  if (answered) {
+  const bool done = outcome == ServerOutcome::kAnswered || outcome == ServerOutcome::kDeadline;
+  if (done) {
     service_time_ += (now - begun - service_time_) / kSmoothing;
   }
+  if (outcome != ServerOutcome::kWithdrawn) {
+    failed_ += ((done ? 0.0 : 1.0) - failed_) / static_cast<double>(kSmoothing);
+  }
 }
 
-void ServerAdmission::onOutcome(bool answered) {
-  unanswered_ += ((answered ? 0.0 : 1.0) - unanswered_) / static_cast<double>(kSmoothing);
-}
-
-std::uint32_t ServerAdmission::unansweredPermille() const {
+std::uint32_t ServerAdmission::failedPermille() const {
   constexpr double kThousand = 1000;
-  return static_cast<std::uint32_t>(unanswered_ * kThousand);
+  return static_cast<std::uint32_t>(failed_ * kThousand);
 }
 
 Duration ServerAdmission::serviceTime(TimePoint now) const {
--- a/core/server_admission.h
+++ b/core/server_admission.h
@@ -19,6 +19,16 @@
 /// Names one request; chosen by the caller, never reused.
 using AdmissionId = std::uint64_t;
 
+/// How a dispatched request ended.
+enum class ServerOutcome : std::uint8_t {
+  kAnswered,   ///< By a success or a failure that is the client's.
+  kFailed,     ///< By an error of the server's own.
+  kDeadline,   ///< By the server's word that the request's time was over.
+  kNotRun,     ///< The server turned it away.
+  kNoAnswer,   ///< The connection failed or stayed silent.
+  kWithdrawn,  ///< The caller lost interest, or it never reached the server.
+};
+
 enum class AdmissionVerdict : std::uint8_t { kDispatch, kWait, kRefuse };
 
 struct AdmissionRequest {
@@ -40,13 +50,11 @@
   /// unknown. Each request under way holds one connection.
   void setSlots(std::uint32_t slots, std::uint32_t max_connections = 0);
   AdmissionVerdict offer(const AdmissionRequest& request, TimePoint now);
-  /// A request that was dispatched at `begun` has ended; `answered` if the server answered it.
-  void onFinished(TimePoint begun, bool answered, TimePoint now);
-  /// Whether the server gave a dispatched request an answer in time. Not told of requests whose
-  /// caller lost interest.
-  void onOutcome(bool answered);
-  /// Share of recent requests that got no answer, in thousandths.
-  [[nodiscard]] std::uint32_t unansweredPermille() const;
+  /// A request that was dispatched at `begun` has ended.
+  void onFinished(TimePoint begun, ServerOutcome outcome, TimePoint now);
+  /// Share of recent requests that the server failed, turned away or left without an answer, in
+  /// thousandths.
+  [[nodiscard]] std::uint32_t failedPermille() const;
   /// A waiting request was withdrawn by its caller.
   void withdraw(AdmissionId id);
   /// The next waiting request that may be dispatched now; counts as dispatched.
@@ -59,8 +67,9 @@
   [[nodiscard]] std::size_t underWay() const { return under_way_; }
   [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
   [[nodiscard]] std::uint32_t limit() const { return limit_; }
-  /// Mean time that the server takes for a request: smoothed over those that ended, or the mean age
-  /// of those under way if that is longer. A server that turns slow shows at once that way.
+  /// Mean time that the server takes for a request: smoothed over those that it did, or the mean
+  /// age of those under way if that is longer. A server that turns slow shows at once that way; one
+  /// that fails at once does not look fast.
   [[nodiscard]] Duration serviceTime(TimePoint now) const;
   /// How long a new request would wait at the present rate.
   [[nodiscard]] Duration expectedWait() const;
@@ -86,7 +95,7 @@
   std::map<Position, Waiting> waiting_;
   std::map<AdmissionId, Position> positions_;
   Duration service_time_ = milliseconds(50);
-  double unanswered_ = 0;  ///< Smoothed share.
+  double failed_ = 0;      ///< Smoothed share.
   Duration begun_sum_{0};  ///< Sum of the times at which those under way were dispatched.
   AdmissionCounters counters_;
 };
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -16,6 +16,15 @@
 constexpr Duration kDeadlineMargin = milliseconds(20);
 constexpr Duration kLeastTimeLeft = milliseconds(2);
 
+ServerOutcome outcomeOf(int status) {
+  constexpr int kServerError = 500;
+  constexpr int kGatewayTimeout = 504;
+  if (status == kGatewayTimeout) {
+    return ServerOutcome::kDeadline;
+  }
+  return status >= kServerError ? ServerOutcome::kFailed : ServerOutcome::kAnswered;
+}
+
 bool bodiless(int status) {
   constexpr int kNoContent = 204;
   constexpr int kNotModified = 304;
@@ -88,13 +97,13 @@
   under_way_ = true;
   begun_ = EventLoop::now();
   if (state_ == State::kDone || refuseIfFenced()) {
-    finishServerWork(false);
+    finishServerWork(ServerOutcome::kWithdrawn);
     return;
   }
   const Duration left = deadline_ - begun_;
   if (left < kLeastTimeLeft) {
     refuse(kOutcomeBusy, "deadline", kUnavailable);
-    finishServerWork(false);
+    finishServerWork(ServerOutcome::kWithdrawn);
     return;
   }
   state_ = State::kRunning;
@@ -143,12 +152,12 @@
   state_ = State::kDone;
 }
 
-void InboundRequest::finishServerWork(bool answered) {
+void InboundRequest::finishServerWork(ServerOutcome outcome) {
   if (!under_way_) {
     return;
   }
   under_way_ = false;
-  context_.admission.onFinished(begun_, answered, EventLoop::now());
+  context_.admission.onFinished(begun_, outcome, EventLoop::now());
   context_.pumpAdmission();
 }
 
@@ -191,11 +200,9 @@
   const State before = state_;
   done();
   if (before == State::kRunning && upstream_ != nullptr) {
-    if (EventLoop::now() + kDeadlineMargin >= deadline_) {
-      context_.admission.onOutcome(false);
-    }
+    const bool at_deadline = EventLoop::now() + kDeadlineMargin >= deadline_;
     upstream_->cancel();
-    finishServerWork(false);
+    finishServerWork(at_deadline ? ServerOutcome::kNoAnswer : ServerOutcome::kWithdrawn);
   }
 }
 
@@ -207,6 +214,7 @@
   const bool not_run = head.find(names.not_run) != nullptr || head.status == kMisdirected;
   head.removeHopByHop();
   removePeerHeaders(head);
+  outcome_ = not_run ? ServerOutcome::kNotRun : outcomeOf(head.status);
   if (not_run) {
     context_.counters.server_not_run += 1;
     discarding_ = true;
@@ -251,8 +259,7 @@
     done();
     exchange->finish();
   }
-  context_.admission.onOutcome(true);
-  finishServerWork(!discarding_);
+  finishServerWork(outcome_);
 }
 
 void InboundRequest::onServerRefusedConnection() {
@@ -269,9 +276,6 @@
   }
   const auto self = shared_from_this();
   context_.counters.server_failures += 1;
-  if (failure != ClientFailure::kNoSocket) {
-    context_.admission.onOutcome(false);
-  }
   if (failure == ClientFailure::kNoSocket) {
     refuse(kOutcomeBusy, "no socket", kUnavailable);
   } else if (failure == ClientFailure::kNotConnected) {
@@ -287,7 +291,8 @@
   } else {
     refuse(kOutcomeUnknown, "connection lost", kBadGateway);
   }
-  finishServerWork(false);
+  finishServerWork(failure == ClientFailure::kNoSocket ? ServerOutcome::kWithdrawn
+                                                       : ServerOutcome::kNoAnswer);
 }
 
 }  // namespace ramppond
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -41,7 +41,7 @@
   void askAdmission();
   bool refuseIfFenced();
   void refuse(std::string_view outcome, const std::string& reason, int status);
-  void finishServerWork(bool answered);
+  void finishServerWork(ServerOutcome outcome);
   void onServerRefusedConnection();
   void done();
 
@@ -59,6 +59,7 @@
   bool body_ended_ = false;
   bool under_way_ = false;   ///< Counted by the admission.
   bool discarding_ = false;  ///< The server's answer says "not run": only its end is awaited.
+  ServerOutcome outcome_ = ServerOutcome::kAnswered;  ///< As far as the answer's head tells.
 };
 
 }  // namespace ramppond
--- a/daemon/proxy/peer_headers.cc
+++ b/daemon/proxy/peer_headers.cc
@@ -25,7 +25,7 @@
 std::string formatLoad(const ServerLoad& load) {
   return std::to_string(load.limit) + "/" + std::to_string(load.under_way) + "/" +
          std::to_string(load.waiting) + "/" + std::to_string(load.service_time.count()) + "/" +
-         std::to_string(load.unanswered_permille);
+         std::to_string(load.failed_permille);
 }
 
 std::optional<ServerLoad> parseLoad(const std::string* text) {
@@ -47,7 +47,7 @@
   load.under_way = static_cast<std::uint32_t>(numbers[1]);
   load.waiting = static_cast<std::uint32_t>(numbers[2]);
   load.service_time = Duration(static_cast<std::int64_t>(numbers[3]));
-  load.unanswered_permille = static_cast<std::uint32_t>(numbers[4]);
+  load.failed_permille = static_cast<std::uint32_t>(numbers[4]);
   return load;
 }
 
--- a/daemon/proxy/peer_headers.h
+++ b/daemon/proxy/peer_headers.h
@@ -20,7 +20,7 @@
 /// Answers made by the daemon beside the server: one of the values below, and a reason.
 constexpr std::string_view kPeerOutcome = "Ramppond-Outcome";
 /// Answers: the load of the server, "limit/under way/waiting/service time in microseconds/
-/// thousandths of recent requests without an answer".
+/// thousandths of recent requests that failed".
 constexpr std::string_view kPeerLoad = "Ramppond-Load";
 
 /// The request was not handed to the server, for want of room.
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -72,7 +72,7 @@
   load.under_way = static_cast<std::uint32_t>(admission.underWay());
   load.waiting = static_cast<std::uint32_t>(admission.waiting());
   load.service_time = admission.serviceTime(EventLoop::now());
-  load.unanswered_permille = admission.unansweredPermille();
+  load.failed_permille = admission.failedPermille();
   return load;
 }
 
@@ -110,7 +110,7 @@
     const auto request = waiting[*id].lock();
     waiting.erase(*id);
     if (request == nullptr) {
-      admission.onFinished(now, false, now);
+      admission.onFinished(now, ServerOutcome::kWithdrawn, now);
       continue;
     }
     request->onAdmitted();
--- a/tests/core/instance_directory_test.cc
+++ b/tests/core/instance_directory_test.cc
@@ -67,6 +67,19 @@
   EXPECT_EQ(choose(), "near");
 }
 
+// Calls that every server of a service makes may fail too: that is no reason to avoid any of them.
+TEST_F(InstanceDirectoryTest, WhatAllServersFailAlikeMovesNoRequests) {
+  directory_.offer(record("near", "zone-a"));
+  directory_.offer(record("far", "zone-b"));
+  directory_.offer(record("other", "zone-b"));
+  directory_.onLoad(find("near"), {10, 1, 0, milliseconds(40), 400}, now_);
+  directory_.onLoad(find("far"), {10, 1, 0, milliseconds(40), 400}, now_);
+  directory_.onLoad(find("other"), {10, 1, 0, milliseconds(40), 380}, now_);
+  EXPECT_EQ(choose(), "near");
+  directory_.onLoad(find("near"), {10, 1, 0, milliseconds(40), 900}, now_);
+  EXPECT_NE(choose(), "near");
+}
+
 TEST_F(InstanceDirectoryTest, LeavingServersAndOtherServicesAreNeverChosen) {
   directory_.offer(record("near", "zone-a", InstanceState::kDraining));
   InstanceRecord other = record("far", "zone-b");
--- a/tests/core/server_admission_test.cc
+++ b/tests/core/server_admission_test.cc
@@ -27,7 +27,7 @@
         waiting += verdict == AdmissionVerdict::kWait ? 1 : 0;
       } else if (step == 2 && running > 0) {
         running -= 1;
-        admission.onFinished(now, true, now + milliseconds(10));
+        admission.onFinished(now, ServerOutcome::kAnswered, now + milliseconds(10));
       } else {
         waiting -= admission.takeExpired(now).size();
       }
@@ -49,7 +49,7 @@
   EXPECT_EQ(admission.offer({2, 2, kPatience}, TimePoint(0)), AdmissionVerdict::kWait);
   EXPECT_EQ(admission.offer({3, 0, kPatience}, TimePoint(0)), AdmissionVerdict::kWait);
   EXPECT_EQ(admission.takeDispatchable(TimePoint(0)), std::nullopt);
-  admission.onFinished(TimePoint(0), true, TimePoint(0));
+  admission.onFinished(TimePoint(0), ServerOutcome::kAnswered, TimePoint(0));
   EXPECT_EQ(admission.takeDispatchable(TimePoint(0)), AdmissionId{3});
 }
 
@@ -61,7 +61,7 @@
   EXPECT_EQ(admission.nextExpiry(), kPatience);
   EXPECT_TRUE(admission.takeExpired(kPatience - Duration(1)).empty());
   EXPECT_EQ(admission.takeExpired(kPatience), std::vector<AdmissionId>{2});
-  admission.onFinished(TimePoint(0), false, kPatience);
+  admission.onFinished(TimePoint(0), ServerOutcome::kNoAnswer, kPatience);
   EXPECT_EQ(admission.takeDispatchable(kPatience), std::nullopt);
 }
 
@@ -70,24 +70,63 @@
   admission.setSlots(1);
   for (int finished = 0; finished < 200; ++finished) {
     admission.offer({1, 0, kPatience}, TimePoint(0));
-    admission.onFinished(TimePoint(0), true, seconds(1));
+    admission.onFinished(TimePoint(0), ServerOutcome::kAnswered, seconds(1));
   }
   admission.offer({2, 0, kPatience}, TimePoint(0));
   EXPECT_EQ(admission.offer({3, 0, kPatience}, TimePoint(0)), AdmissionVerdict::kRefuse);
 }
 
+void finishOne(ServerAdmission& admission, ServerOutcome outcome, Duration took) {
+  admission.offer({1, 0, kPatience}, TimePoint(0));
+  admission.onFinished(TimePoint(0), outcome, took);
+}
+
 TEST(ServerAdmission, LostAnswersShowAndAreForgotten) {
   ServerAdmission admission;
   for (int lost = 0; lost < 50; ++lost) {
-    admission.onOutcome(lost % 2 == 0);
+    finishOne(admission, lost % 2 == 0 ? ServerOutcome::kAnswered : ServerOutcome::kNoAnswer,
+              milliseconds(50));
   }
-  EXPECT_GT(admission.unansweredPermille(), 300U);
+  EXPECT_GT(admission.failedPermille(), 300U);
   for (int answered = 0; answered < 100; ++answered) {
-    admission.onOutcome(true);
+    finishOne(admission, ServerOutcome::kAnswered, milliseconds(50));
+  }
+  EXPECT_LT(admission.failedPermille(), 10U);
+}
+
+struct OutcomeCase {
+  const char* name;
+  ServerOutcome outcome;
+  bool counts_as_work;     ///< Its duration says how fast the server is.
+  bool counts_as_failure;  ///< It raises the share of failed requests.
+};
+
+void PrintTo(const OutcomeCase& tested, std::ostream* out) {
+  *out << tested.name;
+}
+
+class ServerOutcomeTest : public testing::TestWithParam<OutcomeCase> {};
+
+TEST_P(ServerOutcomeTest, MovesWhatItTellsOfTheServer) {
+  ServerAdmission admission;
+  const Duration before = admission.serviceTime(TimePoint(0));
+  for (int ended = 0; ended < 100; ++ended) {
+    finishOne(admission, GetParam().outcome, milliseconds(1));
   }
-  EXPECT_LT(admission.unansweredPermille(), 10U);
+  EXPECT_EQ(admission.serviceTime(TimePoint(0)) < before, GetParam().counts_as_work);
+  EXPECT_EQ(admission.failedPermille() > 900, GetParam().counts_as_failure);
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    Table, ServerOutcomeTest,
+    testing::Values(OutcomeCase{"Answered", ServerOutcome::kAnswered, true, false},
+                    OutcomeCase{"Failed", ServerOutcome::kFailed, false, true},
+                    OutcomeCase{"Deadline", ServerOutcome::kDeadline, true, false},
+                    OutcomeCase{"NotRun", ServerOutcome::kNotRun, false, true},
+                    OutcomeCase{"NoAnswer", ServerOutcome::kNoAnswer, false, true},
+                    OutcomeCase{"Withdrawn", ServerOutcome::kWithdrawn, false, false}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 TEST(ServerAdmission, NeverMoreUnderWayThanConnections) {
   ServerAdmission admission;
   admission.setSlots(100, 10);
@@ -102,8 +141,8 @@
   admission.offer({1, 0, kPatience}, TimePoint(0));
   admission.offer({2, 0, kPatience}, TimePoint(0));
   EXPECT_EQ(admission.serviceTime(seconds(2)), seconds(2));
-  admission.onFinished(TimePoint(0), false, seconds(2));
-  admission.onFinished(TimePoint(0), false, seconds(2));
+  admission.onFinished(TimePoint(0), ServerOutcome::kWithdrawn, seconds(2));
+  admission.onFinished(TimePoint(0), ServerOutcome::kWithdrawn, seconds(2));
   EXPECT_LT(admission.serviceTime(seconds(2)), milliseconds(100));
 }
 
