Silent peers are found by pings and left; what waits there and may be repeated goes elsewhere

Ruled out: cuts (found by the user time-out within 1 s already), slow machines (they answer). Change: peer_liveness: when requests wait and nothing came from a peer for 400 ms, its daemon is pinged; without an answer for 250 ms it is the last choice until it is heard, and requests that may be repeated leave it within the retry budget. A request that may not be repeated waits on. Tests: peer_liveness_test, InstanceDirectoryTest.ASilentDaemonIsLeftUntilItIsHeardAgain.

--- a/core/instance_directory.cc
+++ b/core/instance_directory.cc
@@ -49,6 +49,9 @@
     known.load = ServerLoad{};
     known.refused_until = TimePoint(0);
   }
+  if (known.record.incarnation != record.incarnation) {
+    known.liveness = peer_liveness();
+  }
   known.fenced_until = TimePoint(0);
   known.failures = 0;
   known.unreachable_until = TimePoint(0);
@@ -118,7 +121,8 @@
   cost *= instance.record.zone == options_.zone ? kOwnZoneRebate : 1.0;
   cost += instance.refused_until > now ? kRefusedCost : 0;
   cost += instance.record.state == InstanceState::kStopping ? kStoppingCost : 0;
-  cost += instance.unreachable_until > now ? kUnreachableCost : 0;
+  const bool unreachable = instance.unreachable_until > now || instance.liveness.is_silent();
+  cost += unreachable ? kUnreachableCost : 0;
   return cost + random_.uniform() * kTieBreak;
 }
 
@@ -148,13 +152,17 @@
   return best;
 }
 
-void InstanceDirectory::onSent(KnownInstance& instance) {
+void InstanceDirectory::onSent(KnownInstance& instance, TimePoint now) {
   instance.sent += 1;
   instance.sent_since += 1;
+  instance.liveness.on_sent(now);
 }
 
 void InstanceDirectory::onEnded(KnownInstance& instance) {
   instance.sent -= instance.sent > 0 ? 1 : 0;
+  if (instance.sent == 0) {
+    instance.liveness.on_idle();
+  }
 }
 
 void InstanceDirectory::onLoad(KnownInstance& instance, const ServerLoad& load, TimePoint now) {
@@ -173,9 +181,31 @@
   instance.unreachable_until = now + kFirstUnreachable * (std::int64_t{1} << doublings);
 }
 
-void InstanceDirectory::onReached(KnownInstance& instance) {
+void InstanceDirectory::onReached(KnownInstance& instance, TimePoint now) {
   instance.failures = 0;
   instance.unreachable_until = TimePoint(0);
+  instance.liveness.on_heard(now, instance.sent > 0 ? instance.sent - 1 : 0);
+}
+
+void InstanceDirectory::onPingAnswered(KnownInstance& instance, TimePoint now) {
+  instance.liveness.on_heard(now, instance.sent);
+}
+
+InstanceDirectory::LivenessChanges InstanceDirectory::checkLiveness(TimePoint now) {
+  LivenessChanges changes;
+  for (auto& [daemon, instance] : by_daemon_) {
+    switch (instance.liveness.check(now)) {
+      case liveness_step::none:
+        break;
+      case liveness_step::ping:
+        changes.to_ping.push_back(&instance);
+        break;
+      case liveness_step::became_silent:
+        changes.silent.push_back(&instance);
+        break;
+    }
+  }
+  return changes;
 }
 
 void InstanceDirectory::onFenced(KnownInstance& instance, TimePoint now) {
--- a/core/instance_directory.h
+++ b/core/instance_directory.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "core/instance_registry.h"
+#include "core/peer_liveness.h"
 #include "core/random.h"
 #include "core/time.h"
 
@@ -39,6 +40,7 @@
   TimePoint unreachable_until{0};
   TimePoint refused_until{0};  ///< It refused lately; others are asked first.
   TimePoint fenced_until{0};   ///< It said that it takes nothing more.
+  peer_liveness liveness;      ///< Of its daemon.
 };
 
 struct InstanceDirectoryOptions {
@@ -56,12 +58,21 @@
                         TimePoint now);
   [[nodiscard]] bool hasInstances(const std::string& service) const;
 
-  void onSent(KnownInstance& instance);
+  void onSent(KnownInstance& instance, TimePoint now);
   void onEnded(KnownInstance& instance);
   void onLoad(KnownInstance& instance, const ServerLoad& load, TimePoint now);
   void onRefused(KnownInstance& instance, TimePoint now);
   void onUnreachable(KnownInstance& instance, TimePoint now);
-  void onReached(KnownInstance& instance);
+  /// A request sent to it was answered, by its server or by its daemon.
+  void onReached(KnownInstance& instance, TimePoint now);
+  void onPingAnswered(KnownInstance& instance, TimePoint now);
+  /// Those whose daemons are to be pinged, and those that have just fallen silent.
+  struct LivenessChanges {
+    std::vector<KnownInstance*> to_ping;
+    std::vector<KnownInstance*> silent;
+  };
+  /// To be called every 100 ms or so.
+  LivenessChanges checkLiveness(TimePoint now);
   /// The daemon said that this instance takes nothing more. Passed over until a newer record comes
   /// or some time has passed: what was said may be older than the record that is held.
   void onFenced(KnownInstance& instance, TimePoint now);
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -123,12 +123,14 @@
   head.fields.push_back({std::string(kPeerService), service_});
   head.fields.push_back({std::string(kPeerPriority), std::to_string(route_->priority)});
   head.fields.push_back({std::string(kPeerPatienceMs), formatMilliseconds(patience)});
-  context_.directory.onSent(*instance_);
+  context_.directory.onSent(*instance_, now);
+  context_.under_way.insert(this);
   upstream_ = context_.peer(instance_->record.daemon_address)
                   .start(head, framingOf(head), body_, body_ended_, shared_from_this());
 }
 
 void ForwardedRequest::endAttempt() {
+  context_.under_way.erase(this);
   if (instance_ != nullptr) {
     context_.directory.onEnded(*instance_);
     instance_ = nullptr;
@@ -138,7 +140,7 @@
   answer_body_.clear();
 }
 
-bool ForwardedRequest::mayRepeat(AttemptEnd end) {
+bool ForwardedRequest::mayRepeat(AttemptEnd end, std::uint32_t arrivals) {
   if (body_streamed_ || tried_.size() >= kMaximumTried || timeLeft() < kLeastTimeForAttempt) {
     return false;
   }
@@ -148,7 +150,7 @@
   if (end == AttemptEnd::kUnknown && !isRepeatable(route_->kind)) {
     return false;
   }
-  if (arrivals_ >= route_->max_attempts) {
+  if (arrivals >= route_->max_attempts) {
     return false;
   }
   if (!context_.budget(service_).take()) {
@@ -159,19 +161,40 @@
   return true;
 }
 
-void ForwardedRequest::afterAttempt(AttemptEnd end, const std::string& reason) {
+void ForwardedRequest::noteAttempt(AttemptEnd end) {
   endAttempt();
   arrivals_ += end == AttemptEnd::kNotSent ? 0 : 1;
   run_possible_ = run_possible_ || end == AttemptEnd::kUnknown;
-  if (mayRepeat(end)) {
-    const TimePoint now = EventLoop::now();
-    if (context_.repeats.allow(now.count())) {
-      logEvent(now.count(), context_.repeats.event(),
-               {{"request", exchange_->request().get(context_.api.headers().request_id)},
-                {"service", service_},
-                {"after", reason}});
-    }
-    attempt();
+}
+
+void ForwardedRequest::repeat(const std::string& reason) {
+  const TimePoint now = EventLoop::now();
+  if (context_.repeats.allow(now.count())) {
+    logEvent(now.count(), context_.repeats.event(),
+             {{"request", exchange_->request().get(context_.api.headers().request_id)},
+              {"service", service_},
+              {"after", reason}});
+  }
+  attempt();
+}
+
+void ForwardedRequest::onPeerSilent(const KnownInstance& instance) {
+  const bool waits_there = !over_ && instance_ == &instance && upstream_ != nullptr;
+  if (!waits_there || answer_held_ || exchange_->headSent() || !isRepeatable(route_->kind)) {
+    return;
+  }
+  if (!mayRepeat(AttemptEnd::kUnknown, arrivals_ + 1)) {
+    return;
+  }
+  upstream_->cancel();
+  noteAttempt(AttemptEnd::kUnknown);
+  repeat("peer silent");
+}
+
+void ForwardedRequest::afterAttempt(AttemptEnd end, const std::string& reason) {
+  noteAttempt(end);
+  if (mayRepeat(end, arrivals_)) {
+    repeat(reason);
     return;
   }
   if (run_possible_) {
@@ -285,7 +308,7 @@
   if (over_ || instance_ == nullptr) {
     return;
   }
-  context_.directory.onReached(*instance_);
+  context_.directory.onReached(*instance_, EventLoop::now());
   const auto load = parseLoad(head.find(kPeerLoad));
   if (load) {
     context_.directory.onLoad(*instance_, *load, EventLoop::now());
--- a/daemon/proxy/forwarded_request.h
+++ b/daemon/proxy/forwarded_request.h
@@ -19,6 +19,13 @@
   /// Takes over `exchange`.
   static void serve(ProxyContext& context, const std::shared_ptr<ServerExchange>& exchange);
   ForwardedRequest(ProxyContext& context, std::shared_ptr<ServerExchange> exchange);
+  ~ForwardedRequest() override { context_.under_way.erase(this); }
+  ForwardedRequest(const ForwardedRequest&) = delete;
+  ForwardedRequest& operator=(const ForwardedRequest&) = delete;
+
+  /// The daemon beside `instance` answers nothing any more. A request that waits there and may be
+  /// repeated goes elsewhere; any other waits on, since only time can tell whether it runs.
+  void onPeerSilent(const KnownInstance& instance);
 
   void onRequestBody(std::string_view data) override;
   void onRequestEnd() override;
@@ -45,7 +52,10 @@
   void attempt();
   void endAttempt();
   void afterAttempt(AttemptEnd end, const std::string& reason);
-  [[nodiscard]] bool mayRepeat(AttemptEnd end);
+  void noteAttempt(AttemptEnd end);
+  void repeat(const std::string& reason);
+  /// Whether another attempt may follow on one that ended so, `arrivals` with it; pays for it.
+  [[nodiscard]] bool mayRepeat(AttemptEnd end, std::uint32_t arrivals);
   void onDeadline();
   void readOutcome(const HttpHead& head);
   void releaseAnswer();
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -1,6 +1,8 @@
 #include "daemon/proxy/proxy_context.h"
 
+#include "daemon/proxy/forwarded_request.h"
 #include "daemon/proxy/inbound_request.h"
+#include "daemon/proxy/peer_ping.h"
 
 namespace ramppond {
 namespace {
@@ -97,6 +99,28 @@
   }
 }
 
+void ProxyContext::checkPeers() {
+  const TimePoint now = EventLoop::now();
+  const auto changes = directory.checkLiveness(now);
+  for (KnownInstance* instance : changes.to_ping) {
+    peer_ping::send(*this, *instance);
+  }
+  for (KnownInstance* instance : changes.silent) {
+    counters.silent_peers += 1;
+    logEvent(
+        now.count(), "peer_silent",
+        {{"peer", instance->record.daemon_address}, {"waiting", std::to_string(instance->sent)}});
+    std::vector<std::shared_ptr<ForwardedRequest>> requests;
+    requests.reserve(under_way.size());
+    for (ForwardedRequest* request : under_way) {
+      requests.push_back(request->shared_from_this());
+    }
+    for (const auto& request : requests) {
+      request->onPeerSilent(*instance);
+    }
+  }
+}
+
 void ProxyContext::pumpAdmission() {
   const TimePoint now = EventLoop::now();
   for (const AdmissionId id : admission.takeExpired(now)) {
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "common/event_log.h"
@@ -44,9 +45,13 @@
   std::uint64_t inbound_refused = 0;
   std::uint64_t server_not_run = 0;
   std::uint64_t server_failures = 0;
+  std::uint64_t pings = 0;
+  std::uint64_t silent_peers = 0;  ///< Pings that were not answered in time.
 };
 
+class ForwardedRequest;
 class InboundRequest;
+class peer_ping;
 
 struct ProxyContext {
   ProxyContext(EventLoop& event_loop, const ExternalApi& external, ProxySettings own_settings,
@@ -57,6 +62,8 @@
   RetryBudget& budget(const std::string& service);
   /// Begins waiting requests for which there is room now, and refuses those that waited too long.
   void pumpAdmission();
+  /// Pings peers that let requests wait, and moves requests away from those that fell silent.
+  void checkPeers();
   /// Takes over the slots and connections that the server beside it may use.
   void applyServerLimits();
   /// The server beside it changed; tells whoever must know.
@@ -75,6 +82,8 @@
   HttpClientPool server_pool;
   std::map<std::string, std::unique_ptr<HttpClientPool>> peers;
   std::map<std::string, RetryBudget> budgets;
+  std::map<std::string, std::shared_ptr<peer_ping>> pings;  ///< The last one to each daemon.
+  std::set<ForwardedRequest*> under_way;                    ///< Those with an attempt under way.
   std::map<AdmissionId, std::weak_ptr<InboundRequest>> waiting;
   AdmissionId next_admission_id = 1;
   LoopTimer admission_timer;
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -5,6 +5,7 @@
 #include "common/event_log.h"
 #include "daemon/proxy/forwarded_request.h"
 #include "daemon/proxy/inbound_request.h"
+#include "daemon/proxy/peer_ping.h"
 
 namespace ramppond {
 namespace {
@@ -22,6 +23,7 @@
 // The end comes this long before the platform would enforce it.
 constexpr Duration kStopMargin = milliseconds(300);
 constexpr std::uint32_t kCounterSeconds = 5;
+constexpr Duration kLivenessInterval = milliseconds(100);
 constexpr std::size_t kMaximumReportBytes = 65536;
 
 // Orders the starts of one daemon: later ones have higher numbers unless the clock ran backwards,
@@ -61,7 +63,9 @@
                }),
       peers_(loop_, settings.peer_address, peerServerOptions(),
              [this](const std::shared_ptr<ServerExchange>& exchange) {
-               InboundRequest::serve(context_, exchange);
+               if (!answer_ping(context_, exchange)) {
+                 InboundRequest::serve(context_, exchange);
+               }
              }),
       readiness_(
           loop_, settings.readiness_address, HttpServerOptions{},
@@ -71,6 +75,7 @@
       signals_(loop_.context(), SIGTERM, SIGINT, SIGHUP),
       poll_timer_(loop_),
       second_timer_(loop_),
+      liveness_timer_(loop_),
       stop_timer_(loop_) {
   context_.on_server_changed = [this] { tellOwnRecord(); };
 }
@@ -84,6 +89,7 @@
   waitForSignal();
   tellOwnRecord();
   everySecond();
+  checkPeers();
   logEvent(EventLoop::now().count(), "started", {{"name", context_.settings.name}});
   return std::nullopt;
 }
@@ -260,6 +266,11 @@
   logEvent(now, "settings_taken", {{"signal", asked ? "yes" : "no"}});
 }
 
+void ProxyProcess::checkPeers() {
+  context_.checkPeers();
+  liveness_timer_.after(kLivenessInterval, [this] { checkPeers(); });
+}
+
 void ProxyProcess::everySecond() {
   context_.server_pool.sweep();
   for (const auto& [address, pool] : context_.peers) {
@@ -292,6 +303,8 @@
             {"inbound_refused", text(counters.inbound_refused)},
             {"server_not_run", text(counters.server_not_run)},
             {"server_failures", text(counters.server_failures)},
+            {"pings", text(counters.pings)},
+            {"silent_peers", text(counters.silent_peers)},
             {"server_connections", text(context_.server_pool.counters().connections_opened)},
             {"surplus", text(context_.server_pool.counters().surplus_answers)},
             {"sockets", text(loop_.sockets().open().value)},
--- a/daemon/proxy/proxy_process.h
+++ b/daemon/proxy/proxy_process.h
@@ -41,6 +41,7 @@
   void stopWhenIdle();
   void rereadSettings(bool asked);
   void everySecond();
+  void checkPeers();
   void logCounters();
 
   EventLoop loop_;
@@ -55,6 +56,7 @@
   boost::asio::signal_set signals_;
   LoopTimer poll_timer_;
   LoopTimer second_timer_;
+  LoopTimer liveness_timer_;
   LoopTimer stop_timer_;
   bool stopping_ = false;
   TimePoint stopping_since_{0};
--- a/tests/core/instance_directory_test.cc
+++ b/tests/core/instance_directory_test.cc
@@ -117,7 +117,23 @@
   directory_.onUnreachable(find("near"), now_);
   EXPECT_EQ(choose(), "far");
   EXPECT_EQ(choose({"far"}), "near");
-  directory_.onReached(find("near"));
+  directory_.onReached(find("near"), now_);
+  EXPECT_EQ(choose(), "near");
+}
+
+TEST_F(InstanceDirectoryTest, ASilentDaemonIsLeftUntilItIsHeardAgain) {
+  directory_.offer(record("near", "zone-a"));
+  directory_.offer(record("far", "zone-b"));
+  directory_.onSent(find("near"), now_);
+  now_ += milliseconds(500);
+  ASSERT_EQ(directory_.checkLiveness(now_).to_ping.size(), 1U);
+  EXPECT_EQ(choose(), "near");
+  now_ += milliseconds(300);
+  const auto changes = directory_.checkLiveness(now_);
+  ASSERT_EQ(changes.silent.size(), 1U);
+  EXPECT_EQ(changes.silent.front()->record.daemon_address, "near");
+  EXPECT_EQ(choose(), "far");
+  directory_.onPingAnswered(find("near"), now_);
   EXPECT_EQ(choose(), "near");
 }
 
