A circuit breaker beside each server: one that fails its requests is left at once by all callers

Ruled out: the choice itself (failing servers cost nine times as much while the word is fresh). Change: circuit_breaker: after six failures in a row that are the server's own (errors without a failed call of this machine just before, refusals, connections that end, rested ones apart) the daemon beside it refuses requests as not run, so that they move on at no cost, and lets one through after a pause. Six daemons in place of four are asked before a request is refused. Tests: circuit_breaker_table and open_breaker (tests/core/circuit_breaker_test.cc).

--- a/core/server_admission.h
+++ b/core/server_admission.h
@@ -25,7 +25,8 @@
   kFailed,     ///< By an error of the server's own.
   kDeadline,   ///< By the server's word that the request's time was over.
   kNotRun,     ///< The server turned it away.
-  kNoAnswer,   ///< The connection failed or stayed silent.
+  kLost,       ///< The connection ended before the answer did.
+  kNoAnswer,   ///< Nothing came until the request's time was over, or no connection could be had.
   kWithdrawn,  ///< The caller lost interest, or it never reached the server.
 };
 
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -13,11 +13,12 @@
 constexpr std::size_t kHeldAnswerBytes = 49152;
 constexpr int kNotFound = 404;
 constexpr int kContentTooLarge = 413;
+constexpr int kServerError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 // Attempts, whether a server received them or not.
-constexpr std::size_t kMaximumTried = 4;
+constexpr std::size_t kMaximumTried = 6;
 // A request may wait for its server for this share of its goal: a refusal is cheap only early.
 constexpr std::int64_t kPatienceDivisor = 5;
 // A request for a service of which no server is known waits for this share of its goal.
@@ -123,6 +124,9 @@
   head.fields.push_back({std::string(kPeerService), service_});
   head.fields.push_back({std::string(kPeerPriority), std::to_string(route_->priority)});
   head.fields.push_back({std::string(kPeerPatienceMs), formatMilliseconds(patience)});
+  if (isRepeatable(route_->kind)) {
+    head.fields.push_back({std::string(kPeerRepeatable), "1"});
+  }
   context_.directory.onSent(*instance_, now);
   context_.under_way.insert(this);
   upstream_ = context_.peer(instance_->record.daemon_address)
@@ -364,6 +368,9 @@
     return;
   }
   context_.counters.answered += 1;
+  if (answer_head_.status >= kServerError) {
+    context_.last_failed_forward = EventLoop::now();
+  }
   if (answer_held_) {
     releaseAnswer();
   }
@@ -445,6 +452,9 @@
   const std::string last = instance_ == nullptr ? std::string() : instance_->record.daemon_address;
   endAttempt();
   logOwnAnswer(status, reason, last);
+  if (status >= kServerError) {
+    context_.last_failed_forward = EventLoop::now();
+  }
   if (status == kUnavailable) {
     context_.counters.refused += 1;
   } else if (status >= kBadGateway) {
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -25,6 +25,21 @@
   return status >= kServerError ? ServerOutcome::kFailed : ServerOutcome::kAnswered;
 }
 
+ServerOutcome outcomeOf(ClientFailure failure) {
+  switch (failure) {
+    case ClientFailure::kNoSocket:
+      return ServerOutcome::kWithdrawn;
+    case ClientFailure::kNotConnected:
+    case ClientFailure::kRefused:
+      return ServerOutcome::kNoAnswer;
+    case ClientFailure::kNoAnswer:
+    case ClientFailure::kInvalidAnswer:
+    case ClientFailure::kBrokenAnswer:
+      return ServerOutcome::kLost;
+  }
+  return ServerOutcome::kLost;
+}
+
 bool bodiless(int status) {
   constexpr int kNoContent = 204;
   constexpr int kNotModified = 304;
@@ -55,6 +70,7 @@
   admission_.priority = static_cast<std::uint32_t>(std::strtoul(priority.c_str(), nullptr, 10));
   admission_.patience = parseMilliseconds(head.find(kPeerPatienceMs)).value_or(Duration(0));
   head.removeHopByHop();
+  repeatable_ = head.find(kPeerRepeatable) != nullptr;
   removePeerHeaders(head);
   head.set(context_.api.headers().expect_instance, instance_id_);
   if (refuseIfFenced()) {
@@ -78,6 +94,11 @@
 }
 
 void InboundRequest::askAdmission() {
+  if (!context_.breaker.admit(repeatable_, EventLoop::now())) {
+    context_.counters.inbound_broken += 1;
+    refuse(kOutcomeBusy, "server fails", kUnavailable);
+    return;
+  }
   state_ = State::kWaiting;
   const AdmissionVerdict verdict = context_.admission.offer(admission_, EventLoop::now());
   if (verdict == AdmissionVerdict::kRefuse) {
@@ -157,6 +178,7 @@
     return;
   }
   under_way_ = false;
+  context_.noteServerOutcome(outcome, upstream_ != nullptr && upstream_->reusedConnection());
   context_.admission.onFinished(begun_, outcome, EventLoop::now());
   context_.pumpAdmission();
 }
@@ -291,8 +313,7 @@
   } else {
     refuse(kOutcomeUnknown, "connection lost", kBadGateway);
   }
-  finishServerWork(failure == ClientFailure::kNoSocket ? ServerOutcome::kWithdrawn
-                                                       : ServerOutcome::kNoAnswer);
+  finishServerWork(outcomeOf(failure));
 }
 
 }  // namespace ramppond
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -57,6 +57,7 @@
   TimePoint begun_{0};
   std::string body_;  ///< What came before the server took it.
   bool body_ended_ = false;
+  bool repeatable_ = false;
   bool under_way_ = false;   ///< Counted by the admission.
   bool discarding_ = false;  ///< The server's answer says "not run": only its end is awaited.
   ServerOutcome outcome_ = ServerOutcome::kAnswered;  ///< As far as the answer's head tells.
--- a/daemon/proxy/peer_headers.h
+++ b/daemon/proxy/peer_headers.h
@@ -17,6 +17,8 @@
 constexpr std::string_view kPeerPriority = "Ramppond-Priority";
 /// Requests: how long the request may wait before its server, in milliseconds.
 constexpr std::string_view kPeerPatienceMs = "Ramppond-Patience-Ms";
+/// Requests: present if the request may be repeated.
+constexpr std::string_view kPeerRepeatable = "Ramppond-Repeatable";
 /// Requests: asks the daemon itself, not its server, for an answer.
 constexpr std::string_view kPeerPing = "Ramppond-Ping";
 /// Answers made by the daemon beside the server: one of the values below, and a reason.
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -12,6 +12,7 @@
 // Of the platform's ratio, this share is used: calls that repeated runs make are repeats too.
 constexpr double kRetryRatioUsed = 0.4;
 constexpr double kSavedRepeats = 3;
+constexpr Duration kCallFailureShows = milliseconds(20);
 constexpr Duration kServerConnectTimeout = milliseconds(1000);
 constexpr Duration kPeerConnectTimeout = milliseconds(300);
 // A peer whose machine is cut off acknowledges nothing: whoever may be repeated still has time.
@@ -92,7 +93,40 @@
   admission.setSlots(server.heartbeat().slots, max_connections);
 }
 
+void ProxyContext::noteServerOutcome(ServerOutcome outcome, bool reused_connection) {
+  const TimePoint now = EventLoop::now();
+  const bool was_closed = breaker.is_closed();
+  // A server whose call has just failed fails its own request for that.
+  const bool call_failed = now - last_failed_forward < kCallFailureShows;
+  switch (outcome) {
+    case ServerOutcome::kAnswered:
+      breaker.on_success();
+      break;
+    case ServerOutcome::kFailed:
+      call_failed ? breaker.on_unknown(now) : breaker.on_failure(now);
+      break;
+    case ServerOutcome::kNotRun:
+      breaker.on_failure(now);
+      break;
+    case ServerOutcome::kLost:
+      reused_connection ? breaker.on_unknown(now) : breaker.on_failure(now);
+      break;
+    case ServerOutcome::kDeadline:
+    case ServerOutcome::kNoAnswer:
+    case ServerOutcome::kWithdrawn:
+      breaker.on_unknown(now);
+      break;
+  }
+  if (breaker.is_closed() != was_closed) {
+    logEvent(now.count(), "breaker", {{"is", was_closed ? "open" : "closed"}});
+  }
+}
+
 void ProxyContext::reportServer() {
+  if (server.known() && server.heartbeat().instance_id != judged_instance) {
+    judged_instance = server.heartbeat().instance_id;
+    breaker = circuit_breaker();
+  }
   applyServerLimits();
   if (on_server_changed) {
     on_server_changed();
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "common/event_log.h"
+#include "core/circuit_breaker.h"
 #include "core/external_api.h"
 #include "core/instance_directory.h"
 #include "core/local_server.h"
@@ -43,6 +44,7 @@
   std::uint64_t inbound = 0;
   std::uint64_t inbound_fenced = 0;
   std::uint64_t inbound_refused = 0;
+  std::uint64_t inbound_broken = 0;  ///< Refused since the server fails its requests.
   std::uint64_t server_not_run = 0;
   std::uint64_t server_failures = 0;
   std::uint64_t pings = 0;
@@ -68,6 +70,8 @@
   void applyServerLimits();
   /// The server beside it changed; tells whoever must know.
   void reportServer();
+  /// What the end of a request tells the breaker.
+  void noteServerOutcome(ServerOutcome outcome, bool reused_connection);
   [[nodiscard]] ServerLoad serverLoad() const;
 
   EventLoop& loop;
@@ -79,6 +83,7 @@
   InstanceDirectory directory;
   LocalServer server;
   ServerAdmission admission;
+  circuit_breaker breaker;  ///< Of the server beside it.
   HttpClientPool server_pool;
   std::map<std::string, std::unique_ptr<HttpClientPool>> peers;
   std::map<std::string, RetryBudget> budgets;
@@ -88,6 +93,8 @@
   AdmissionId next_admission_id = 1;
   LoopTimer admission_timer;
   std::function<void()> on_server_changed;
+  std::string judged_instance;       ///< That the breaker's state is about.
+  TimePoint last_failed_forward{0};  ///< When a request that began here last ended without success.
   bool refuse_peers = false;  ///< This daemon ends soon: nothing new may begin at its server.
   ProxyCounters counters;
   DecisionLimit own_answers{"own_answer"};    ///< Answers made here in place of a server's.
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -301,6 +301,7 @@
             {"inbound", text(counters.inbound)},
             {"inbound_fenced", text(counters.inbound_fenced)},
             {"inbound_refused", text(counters.inbound_refused)},
+            {"inbound_broken", text(counters.inbound_broken)},
             {"server_not_run", text(counters.server_not_run)},
             {"server_failures", text(counters.server_failures)},
             {"pings", text(counters.pings)},
--- a/net/stream/http_client.cc
+++ b/net/stream/http_client.cc
@@ -371,6 +371,7 @@
     const Idle idle = idle_.back();
     idle_.pop_back();
     if (idle.until > now && !idle.connection->closing()) {
+      exchange->reused_connection_ = true;
       idle.connection->begin(exchange);
       return exchange;
     }
--- a/net/stream/http_client.h
+++ b/net/stream/http_client.h
@@ -55,6 +55,8 @@
   [[nodiscard]] bool congested() const;
   /// Whether any byte may have reached the peer.
   [[nodiscard]] bool sent() const { return sent_; }
+  /// Whether it went over a connection that had rested; the peer may have forgotten that.
+  [[nodiscard]] bool reusedConnection() const { return reused_connection_; }
 
  private:
   friend class HttpClientConnection;
@@ -67,6 +69,7 @@
   bool no_response_body_ = false;
   bool body_finished_ = false;
   bool sent_ = false;
+  bool reused_connection_ = false;
 };
 
 struct HttpClientOptions {
--- /dev/null
+++ b/tests/core/circuit_breaker_test.cc
@@ -0,0 +1,92 @@
+#include "core/circuit_breaker.h"
+
+#include <gtest/gtest.h>
+
+#include <ostream>
+#include <string>
+
+namespace ramppond {
+namespace {
+
+struct breaker_case {
+  const char* name;
+  std::string outcomes;  // of admitted requests, in order: s, f or u
+  bool closed;
+};
+
+// Keeps the name of a test the same in every run.
+void PrintTo(const breaker_case& tested, std::ostream* out) {
+  *out << tested.name;
+}
+
+void feed(circuit_breaker& breaker, const std::string& outcomes, TimePoint now) {
+  for (auto outcome : outcomes) {
+    if (outcome == 's') breaker.on_success();
+    if (outcome == 'f') breaker.on_failure(now);
+    if (outcome == 'u') breaker.on_unknown(now);
+  }
+}
+
+class circuit_breaker_table : public testing::TestWithParam<breaker_case> {};
+
+TEST_P(circuit_breaker_table, opens_on_failures_in_a_row) {
+  auto breaker = circuit_breaker();
+  feed(breaker, GetParam().outcomes, seconds(1));
+  EXPECT_EQ(breaker.is_closed(), GetParam().closed);
+  EXPECT_EQ(breaker.admit(true, seconds(1)), GetParam().closed);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, circuit_breaker_table,
+                         testing::Values(breaker_case{"new", "", true},
+                                         breaker_case{"few_failures", "fffff", true},
+                                         breaker_case{"failures_in_a_row", "ffffff", false},
+                                         breaker_case{"success_between", "fffffsfffff", true},
+                                         breaker_case{"unknown_between", "fffuuufff", false},
+                                         breaker_case{"unknown_only", "uuuuuuuuuu", true}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+class open_breaker : public testing::Test {
+ protected:
+  void SetUp() override { feed(this->breaker, "ffffff", this->now); }
+
+  circuit_breaker breaker;
+  TimePoint now = seconds(1);
+};
+
+TEST_F(open_breaker, lets_one_request_try_after_a_pause) {
+  EXPECT_FALSE(this->breaker.admit(true, this->now + milliseconds(149)));
+  EXPECT_TRUE(this->breaker.admit(true, this->now + milliseconds(150)));
+  EXPECT_FALSE(this->breaker.admit(true, this->now + milliseconds(160)));
+  this->breaker.on_success();
+  EXPECT_TRUE(this->breaker.admit(false, this->now + milliseconds(170)));
+}
+
+TEST_F(open_breaker, prefers_a_repeatable_request_as_the_one_that_tries) {
+  EXPECT_FALSE(this->breaker.admit(false, this->now + milliseconds(300)));
+  EXPECT_TRUE(this->breaker.admit(false, this->now + milliseconds(650)));
+}
+
+TEST_F(open_breaker, waits_longer_each_time_up_to_a_bound) {
+  auto pause = Duration(milliseconds(150));
+  for (auto i = 0; i < 10; ++i) {
+    this->now += pause;
+    ASSERT_TRUE(this->breaker.admit(true, this->now)) << i;
+    this->breaker.on_failure(this->now);
+    pause = std::min<Duration>(pause * 2, milliseconds(1200));
+    EXPECT_FALSE(this->breaker.admit(true, this->now + pause - milliseconds(1))) << i;
+  }
+}
+
+TEST_F(open_breaker, late_failures_of_earlier_requests_change_nothing) {
+  feed(this->breaker, "fff", this->now + milliseconds(140));
+  EXPECT_TRUE(this->breaker.admit(true, this->now + milliseconds(150)));
+}
+
+TEST_F(open_breaker, a_withdrawn_trial_makes_room_for_the_next) {
+  ASSERT_TRUE(this->breaker.admit(true, this->now + milliseconds(150)));
+  this->breaker.on_unknown(this->now + milliseconds(151));
+  EXPECT_TRUE(this->breaker.admit(true, this->now + milliseconds(152)));
+}
+
+}  // namespace
+}  // namespace ramppond
--- a/tests/core/server_admission_test.cc
+++ b/tests/core/server_admission_test.cc
@@ -123,6 +123,7 @@
                     OutcomeCase{"Failed", ServerOutcome::kFailed, false, true},
                     OutcomeCase{"Deadline", ServerOutcome::kDeadline, true, false},
                     OutcomeCase{"NotRun", ServerOutcome::kNotRun, false, true},
+                    OutcomeCase{"Lost", ServerOutcome::kLost, false, true},
                     OutcomeCase{"NoAnswer", ServerOutcome::kNoAnswer, false, true},
                     OutcomeCase{"Withdrawn", ServerOutcome::kWithdrawn, false, false}),
     [](const auto& info) { return std::string(info.param.name); });
