--- a/core/instance_directory.cc
+++ b/core/instance_directory.cc
@@ -42,8 +42,9 @@
     return;
   }
   if (known.record.service != record.service) {
-    by_service_[known.record.service].erase(record.daemon_address);
-    by_service_[record.service].insert(record.daemon_address);
+    auto& former = by_service_[known.record.service];
+    former.erase(std::remove(former.begin(), former.end(), &known), former.end());
+    by_service_[record.service].push_back(&known);
   }
   if (known.record.instance_id != record.instance_id) {
     known.load = ServerLoad{};
@@ -85,21 +86,20 @@
   return recent ? std::optional<Duration>(instance.load.service_time) : std::nullopt;
 }
 
-InstanceDirectory::ServiceBaseline InstanceDirectory::baselineOf(
-    const std::vector<KnownInstance*>& instances, TimePoint now) {
+InstanceDirectory::ServiceBaseline InstanceDirectory::baselineOfCandidates(TimePoint now) {
   ServiceBaseline baseline;
-  std::vector<std::uint32_t> failed;
-  for (const KnownInstance* instance : instances) {
+  failed_.clear();
+  for (const KnownInstance* instance : candidates_) {
     const auto service_time = recentServiceTime(*instance, now);
     if (!service_time) {
       continue;
     }
     baseline.fastest = std::min(baseline.fastest.value_or(*service_time), *service_time);
-    failed.push_back(instance->load.failed_permille);
+    failed_.push_back(instance->load.failed_permille);
   }
-  if (!failed.empty()) {
-    const auto median = failed.begin() + static_cast<std::ptrdiff_t>((failed.size() - 1) / 2);
-    std::nth_element(failed.begin(), median, failed.end());
+  if (!failed_.empty()) {
+    const auto median = failed_.begin() + static_cast<std::ptrdiff_t>((failed_.size() - 1) / 2);
+    std::nth_element(failed_.begin(), median, failed_.end());
     baseline.median_failed_permille = *median;
   }
   return baseline;
@@ -132,17 +132,16 @@
   if (found == by_service_.end()) {
     return nullptr;
   }
-  std::vector<KnownInstance*> candidates;
-  for (const std::string& daemon : found->second) {
-    KnownInstance& instance = by_daemon_.at(daemon);
-    if (usable(instance, service, excluded, now)) {
-      candidates.push_back(&instance);
+  candidates_.clear();
+  for (KnownInstance* instance : found->second) {
+    if (usable(*instance, service, excluded, now)) {
+      candidates_.push_back(instance);
     }
   }
-  const ServiceBaseline baseline = baselineOf(candidates, now);
+  const ServiceBaseline baseline = baselineOfCandidates(now);
   KnownInstance* best = nullptr;
   double best_cost = 0;
-  for (KnownInstance* candidate : candidates) {
+  for (KnownInstance* candidate : candidates_) {
     const double candidate_cost = cost(*candidate, baseline, now);
     if (best == nullptr || candidate_cost < best_cost) {
       best = candidate;
--- a/core/instance_directory.h
+++ b/core/instance_directory.h
@@ -86,8 +86,7 @@
     std::optional<Duration> fastest;           ///< The shortest service time.
     std::uint32_t median_failed_permille = 0;  ///< The lower median.
   };
-  [[nodiscard]] static ServiceBaseline baselineOf(const std::vector<KnownInstance*>& instances,
-                                                  TimePoint now);
+  ServiceBaseline baselineOfCandidates(TimePoint now);
   double cost(const KnownInstance& instance, const ServiceBaseline& baseline, TimePoint now);
   [[nodiscard]] bool usable(const KnownInstance& instance, const std::string& service,
                             const std::set<std::string>& excluded, TimePoint now) const;
@@ -95,7 +94,9 @@
   InstanceDirectoryOptions options_;
   Random random_;
   std::map<std::string, KnownInstance> by_daemon_;
-  std::map<std::string, std::set<std::string>> by_service_;  ///< Service to daemons.
+  std::map<std::string, std::vector<KnownInstance*>> by_service_;
+  std::vector<KnownInstance*> candidates_;  ///< Of the choice being made; kept for its memory.
+  std::vector<std::uint32_t> failed_;       ///< Of the candidates; likewise.
 };
 
 }  // namespace ramppond
