--- a/core/raft_election.cc
+++ b/core/raft_election.cc
@@ -1,9 +1,9 @@
 // Elections: votes, pre-votes, leadership and its end (Raft paper 5.2, 5.4.1; dissertation 9.6).
-#include "core/raft.h"
-
 #include <algorithm>
 #include <utility>
 
+#include "core/raft.h"
+
 namespace ramppond {
 
 void RaftNode::resetElectionTimer() {
--- a/core/raft_replication.cc
+++ b/core/raft_replication.cc
@@ -1,9 +1,9 @@
 // Replication: appending, committing, snapshots and members that catch up (Raft paper 5.3, 7).
-#include "core/raft.h"
-
 #include <algorithm>
 #include <utility>
 
+#include "core/raft.h"
+
 namespace ramppond {
 
 void RaftNode::broadcastAppend() {
