--- a/tests/platform/forwarding_day_test.cc
+++ b/tests/platform/forwarding_day_test.cc
@@ -212,6 +212,28 @@
   }
 }
 
+// A process that stands still keeps its connections; only its silence tells.
+TEST_F(ForwardingDay, AFrozenDaemonIsLeftAndItsRequestsGoElsewhere) {
+  constexpr int kClients = 1;
+  constexpr std::size_t kFrozen = 2;
+  constexpr std::size_t kRequests = 4;
+  for (int earned = 0; earned < 60; ++earned) {  // Repeats are paid for by first sends.
+    ASSERT_EQ(day_.send(kClients, request("/one/e", "earn-" + std::to_string(earned))).status, 200);
+  }
+  day_.proxies[kFrozen]->signal(SIGSTOP);
+  std::map<std::string, Answer> answers;
+  for (std::size_t number = 0; number < kRequests; ++number) {
+    const std::string id = "frozen-" + std::to_string(number);
+    day_.sendLater(kClients, request("/one/f", id),
+                   [&answers, id](const Answer& answer) { answers[id] = answer; });
+  }
+  EXPECT_TRUE(day_.runUntil([&] { return answers.size() == kRequests; }));
+  day_.proxies[kFrozen]->signal(SIGCONT);
+  for (const auto& [id, answer] : answers) {
+    EXPECT_EQ(answer.status, 200) << id;
+  }
+}
+
 TEST_F(ForwardingDay, ALeavingServerGetsNothingNew) {
   day_.servers[0]->beat("draining");
   day_.runFor(milliseconds(1500));
