What a retry budget saves lasts five seconds and has no fixed cap

Two faults of one class. A rule could be broken: each daemon kept up to three repeats for ever, so that a service with little traffic on many daemons could see three repeats from each at once (shown by a test: 300 daemons at 60 requests a second, 70 at 20 a second before a storm: above 0.2 of the requests + 55 in ten seconds). Tests, four of seven red on the former class: retry_budget_fleet (a table of fleets), retry_budget.

--- a/core/retry_budget.h
+++ b/core/retry_budget.h
@@ -1,34 +1,44 @@
 // The retry budget of one service on one daemon.
 //
-// Every first send earns a fixed share of a repeat, so the sum over all daemons stays below the
-// same share of all requests without any exchange between them, after restarts too. Saved repeats
-// are bounded in number and age, so that a quiet hour does not pay for a storm.
+// Every first send earns a fixed share of a repeat, so the sum over all daemons
+// stays below the same share of all requests without any exchange between them,
+// after restarts too. What is earned lasts for some seconds only: otherwise a
+// quiet hour would pay for a storm, the more of it the more daemons there are.
+// Pure, not thread safe.
 #pragma once
 
-#include <algorithm>
+#include <cstdint>
+#include <deque>
+
+#include "core/time.h"
 
 namespace ramppond {
 
-class RetryBudget {
+/// Repeats earned by each first send.
+struct repeat_share {
+  double value = 0.1;
+};
+
+class retry_budget {
  public:
-  RetryBudget() = default;
-  RetryBudget(double earned_per_request, double most_saved)
-      : earned_per_request_(earned_per_request), most_saved_(most_saved) {}
+  retry_budget() = default;
+  explicit retry_budget(repeat_share share) : share(share) {}
+
+  void on_first_send(TimePoint now);
 
-  void onFirstSend() { saved_ = std::min(most_saved_, saved_ + earned_per_request_); }
   /// Pays for one repeat. False when there is nothing to pay with.
-  bool take() {
-    if (saved_ < 1) {
-      return false;
-    }
-    saved_ -= 1;
-    return true;
-  }
+  auto take(TimePoint now) -> bool;
 
  private:
-  double earned_per_request_ = 0.1;
-  double most_saved_ = 3;
-  double saved_ = 0;
+  struct slot {
+    std::int64_t number;  // of a fixed span of time
+    double earned;        // and not spent
+  };
+
+  void forget(std::int64_t current);
+
+  repeat_share share;
+  std::deque<slot> slots;  // oldest first
 };
 
 }  // namespace ramppond
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -61,7 +61,7 @@
   head.removeHopByHop();
   removePeerHeaders(head);
   head.set(context_.api.headers().caller_service, context_.settings.service);
-  context_.budget(service_).onFirstSend();
+  context_.budget(service_).on_first_send(received_);
   deadline_timer_.after(std::max(timeLeft(), Duration(0)), [this] { onDeadline(); });
   if (!exchange_->hasBody()) {
     body_ended_ = true;
@@ -157,7 +157,7 @@
   if (arrivals >= route_->max_attempts) {
     return false;
   }
-  if (!context_.budget(service_).take()) {
+  if (!context_.budget(service_).take(EventLoop::now())) {
     context_.counters.repeats_unpaid += 1;
     return false;
   }
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -11,7 +11,6 @@
 constexpr std::int64_t kDrainingAdmissionDivisor = 3;
 // Of the platform's ratio, this share is used: calls that repeated runs make are repeats too.
 constexpr double kRetryRatioUsed = 0.4;
-constexpr double kSavedRepeats = 3;
 constexpr Duration kCallFailureShows = milliseconds(20);
 constexpr Duration kServerConnectTimeout = milliseconds(1000);
 constexpr Duration kPeerConnectTimeout = milliseconds(300);
@@ -60,12 +59,12 @@
   return *pool;
 }
 
-RetryBudget& ProxyContext::budget(const std::string& service) {
+retry_budget& ProxyContext::budget(const std::string& service) {
   const auto found = budgets.find(service);
   if (found != budgets.end()) {
     return found->second;
   }
-  return budgets.emplace(service, RetryBudget(bounds.retry_ratio * kRetryRatioUsed, kSavedRepeats))
+  return budgets.emplace(service, retry_budget(repeat_share{bounds.retry_ratio * kRetryRatioUsed}))
       .first->second;
 }
 
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -61,7 +61,7 @@
 
   /// The pool to a peer; made when first needed.
   HttpClientPool& peer(const std::string& daemon_address);
-  RetryBudget& budget(const std::string& service);
+  retry_budget& budget(const std::string& service);
   /// Begins waiting requests for which there is room now, and refuses those that waited too long.
   void pumpAdmission();
   /// Pings peers that let requests wait, and moves requests away from those that fell silent.
@@ -86,7 +86,7 @@
   circuit_breaker breaker;  ///< Of the server beside it.
   HttpClientPool server_pool;
   std::map<std::string, std::unique_ptr<HttpClientPool>> peers;
-  std::map<std::string, RetryBudget> budgets;
+  std::map<std::string, retry_budget> budgets;
   std::map<std::string, std::shared_ptr<peer_ping>> pings;  ///< The last one to each daemon.
   std::set<ForwardedRequest*> under_way;                    ///< Those with an attempt under way.
   std::map<AdmissionId, std::weak_ptr<InboundRequest>> waiting;
--- /dev/null
+++ b/tests/core/retry_budget_test.cc
@@ -0,0 +1,103 @@
+#include "core/retry_budget.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "core/random.h"
+
+namespace ramppond {
+namespace {
+
+// As a platform bounds them: repeats in any window of ten seconds, over all
+// daemons.
+constexpr auto window_slots = std::size_t(10);
+constexpr auto allowed_ratio = 0.2;
+constexpr auto allowed_extra = 55.0;
+constexpr auto earned_share = repeat_share{0.08};
+
+struct fleet_case {
+  const char* name;
+  std::size_t daemons;
+  std::vector<int> requests;  // of the whole fleet, second by second
+  std::size_t failing_from;   // second from which every request wants a repeat
+};
+
+// Keeps the name of a test the same in every run.
+void PrintTo(const fleet_case& tested, std::ostream* out) {
+  *out << tested.name;
+}
+
+auto steady(std::size_t seconds_long, int per_second) -> std::vector<int> {
+  return std::vector<int>(seconds_long, per_second);
+}
+
+auto joined(std::vector<int> first, const std::vector<int>& second) -> std::vector<int> {
+  first.insert(first.end(), second.begin(), second.end());
+  return first;
+}
+
+class retry_budget_fleet : public testing::TestWithParam<fleet_case> {};
+
+TEST_P(retry_budget_fleet, stays_within_the_ratio_in_any_window) {
+  const auto& tested = GetParam();
+  auto random = Random(7);
+  auto fleet = std::vector<retry_budget>(tested.daemons, retry_budget(earned_share));
+  auto repeats = std::vector<double>();
+  for (auto second = std::size_t(0); second < tested.requests.size(); ++second) {
+    auto repeated = 0;
+    for (auto i = 0; i < tested.requests[second]; ++i) {
+      auto& budget = fleet[random.below(fleet.size())];
+      const auto now = TimePoint(seconds(second)) + Duration(i);
+      budget.on_first_send(now);
+      repeated += second >= tested.failing_from && budget.take(now) ? 1 : 0;
+    }
+    // Requests that were under way fail too, as many as a daemon has saved for.
+    for (auto& budget : fleet) {
+      const auto now = TimePoint(seconds(second)) + milliseconds(500);
+      while (second >= tested.failing_from && budget.take(now)) ++repeated;
+    }
+    repeats.push_back(repeated);
+  }
+  for (auto from = std::size_t(0); from + window_slots <= repeats.size(); ++from) {
+    auto wanted = 0.0, sent = 0.0;
+    for (auto i = from; i < from + window_slots; ++i) {
+      wanted += repeats[i];
+      sent += tested.requests[i];
+    }
+    EXPECT_LE(wanted, allowed_ratio * sent + allowed_extra) << "from second " << from;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(table, retry_budget_fleet,
+                         testing::Values(fleet_case{"few_daemons", 15, steady(60, 200), 20},
+                                         fleet_case{"many_daemons", 300, steady(60, 2000), 20},
+                                         fleet_case{"many_daemons_little_traffic", 300,
+                                                    steady(120, 60), 90},
+                                         fleet_case{"storm_after_quiet", 70,
+                                                    joined(steady(600, 20), steady(30, 40)), 600},
+                                         fleet_case{"quiet_after_rush", 70,
+                                                    joined(steady(30, 2000), steady(40, 200)), 40}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+TEST(retry_budget, follows_what_a_busy_daemon_sends) {
+  auto budget = retry_budget(earned_share);
+  for (auto i = 0; i < 1000; ++i) budget.on_first_send(seconds(1));
+  auto paid = 0;
+  while (budget.take(seconds(2))) ++paid;
+  EXPECT_GE(paid, 79);
+  EXPECT_LE(paid, 80);
+}
+
+TEST(retry_budget, what_was_earned_lasts_for_seconds_only) {
+  auto budget = retry_budget(earned_share);
+  for (auto i = 0; i < 1000; ++i) budget.on_first_send(seconds(1));
+  EXPECT_TRUE(budget.take(seconds(5)));
+  EXPECT_FALSE(budget.take(seconds(6)));
+}
+
+}  // namespace
+}  // namespace ramppond
