--- a/core/snapshot_policy.cc
+++ b/core/snapshot_policy.cc
@@ -6,7 +6,7 @@
 namespace {
 
 // A log smaller than this is applied in no time, whatever the snapshot's size.
-constexpr std::uint64_t least_log_bytes = 256 * 1024;
+constexpr std::uint64_t least_log_bytes = 256U << 10U;
 
 }  // namespace
 
