--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -240,7 +240,8 @@
 void ProxyProcess::stopWhenIdle() {
   const Duration elapsed = EventLoop::now() - stopping_since_;
   context_.refuse_peers = elapsed >= kPeersServedWhileStopping;
-  const bool idle = clients_.underWay() == 0 && peers_.underWay() == 0;
+  idle_.observe(clients_.underWay() + peers_.underWay(), EventLoop::now());
+  const bool idle = idle_.has_lasted(EventLoop::now());
   if ((idle && elapsed >= kLeastStopTime) || elapsed >= context_.bounds.grace - kStopMargin) {
     logCounters();
     logEvent(EventLoop::now().count(), "stopped");
--- a/daemon/proxy/proxy_process.h
+++ b/daemon/proxy/proxy_process.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "common/settings_watch.h"
+#include "core/idle_watch.h"
 #include "core/proxy_session.h"
 #include "daemon/proxy/proxy_context.h"
 #include "net/stream/control_channels.h"
@@ -60,6 +61,7 @@
   LoopTimer stop_timer_;
   bool stopping_ = false;
   TimePoint stopping_since_{0};
+  idle_watch idle_;
   std::uint32_t seconds_ = 0;
 };
 
