A control member whose disk takes no writes lives on, refuses, and comes back

Change: the member forgets what it holds in memory, as if it had ended, tells daemons and operators at once to ask others, and reads its files anew twice a second. Damage still ends it. Found by reading on the way: a start counted as stored what an earlier process had written and not synced; power lost after that could take back what it then acknowledged. A start now syncs what it found.

--- a/control/coordinator/coordinator_process.cc
+++ b/control/coordinator/coordinator_process.cc
@@ -22,6 +22,8 @@
 constexpr Duration kMemberTimeout = milliseconds(800);
 constexpr Duration kSettingsCheckInterval = seconds(1);
 constexpr Duration kStopTime = milliseconds(300);
+// Reading the files anew costs about as much as a start.
+constexpr Duration kOpenInterval = milliseconds(500);
 // A sync takes milliseconds and may be many times slower: elections must not follow from that.
 constexpr Duration kElectionTimeout = milliseconds(500);
 // After a loss of everything nobody can serve before there is a leader.
@@ -66,12 +68,15 @@
       settings_(std::move(settings)),
       settings_watch_(std::move(settings_path)),
       files_(settings_.data_folder),
-      storage_(files_),
       channels_(loop_),
       frames_(
           loop_, settings_.member_address,
           [this](FrameToken token, const Frame& frame) { onFrame(token, frame); },
-          [this](FrameToken token) { core_->onRequesterGone(token); }),
+          [this](FrameToken token) {
+            if (core_ != nullptr) {
+              core_->onRequesterGone(token);
+            }
+          }),
       operators_(
           loop_, settings_.operator_address, operatorServerOptions(),
           [this](const std::shared_ptr<ServerExchange>& exchange) { serveOperator(exchange); }),
@@ -81,34 +86,69 @@
       next_operator_token_(kFirstOperatorToken) {}
 
 std::optional<std::string> CoordinatorProcess::openStorage() {
-  if (auto error = files_.prepare()) {
-    return error;
-  }
   const NodeId fresh =
       settings_.first_start ? firstIdentity(settings_.member_address.toString()) : randomNumber64();
-  if (auto error = storage_.open(fresh)) {
+  storage_ = std::make_unique<RaftStorage>(files_);
+  const auto error = storage_->open(fresh);
+  if (error && !storage_->mayOpenLater()) {
     return settings_.data_folder + "/" + *error;
   }
+  if (error) {
+    onStorageRefused(*error);
+    return std::nullopt;
+  }
+  beginCore();
   return std::nullopt;
 }
 
-std::optional<std::string> CoordinatorProcess::start() {
-  if (auto error = openStorage()) {
-    return error;
+void CoordinatorProcess::onStorageRefused(const std::string& reason) {
+  const TimePoint now = EventLoop::now();
+  next_open_ = now + kOpenInterval;
+  core_.reset();
+  if (storage_refused_since_) {
+    return;
   }
+  storage_refused_since_ = now;
+  logEvent(now.count(), "storage_refused", {{"folder", settings_.data_folder}, {"reason", reason}});
+  frames_.dropConnections();
+  const auto calls = std::exchange(operator_calls_, {});
+  for (const auto& [token, exchange] : calls) {
+    answerOperator(exchange, kUnavailable, "{\"error\":\"storage takes no writes\"}");
+  }
+}
+
+void CoordinatorProcess::beginCore() {
   ControlOptions options;
   options.name = settings_.name;
   options.address = settings_.member_address.toString();
   options.snapshots = {kEntriesPerSnapshot, kLogPerSnapshot};
   options.session_pull_interval = kRegistryPullInterval;
   options.registry_epoch = randomNumber64();
-  options.raft.id = storage_.id();
+  options.raft.id = storage_->id();
   options.raft.election_timeout = kElectionTimeout;
   options.raft.first_election_timeout = kFirstElectionTimeout;
   options.raft.heartbeat_interval = kHeartbeatInterval;
   options.raft.random_seed = randomNumber64();
-  core_ = std::make_unique<ControlCore>(options, storage_.takeRecovery(), EventLoop::now());
+  const TimePoint now = EventLoop::now();
+  core_ = std::make_unique<ControlCore>(options, storage_->takeRecovery(), now);
+  core_number_ += 1;
   bootstrapIfFirst();
+  const auto refused_since = std::exchange(storage_refused_since_, std::nullopt);
+  if (refused_since) {
+    logEvent(now.count(), "storage_back",
+             {{"after_us", std::to_string((now - *refused_since).count())}});
+  }
+}
+
+std::optional<std::string> CoordinatorProcess::start() {
+  // A limit on the size of files is a failed write like any other.
+  std::signal(SIGXFSZ, SIG_IGN);
+  if (auto error = files_.prepare()) {
+    return error;
+  }
+  if (auto error = openStorage()) {
+    return error;
+  }
   if (auto error = frames_.start()) {
     return error;
   }
@@ -118,7 +158,7 @@
   waitForSignal();
   tick();
   logEvent(EventLoop::now().count(), "started",
-           {{"name", settings_.name}, {"id", std::to_string(storage_.id())}});
+           {{"name", settings_.name}, {"id", std::to_string(storage_->id())}});
   return std::nullopt;
 }
 
@@ -143,6 +183,10 @@
 void CoordinatorProcess::serveOperator(const std::shared_ptr<ServerExchange>& exchange) {
   const HttpHead& request = exchange->request();
   const ExternalCall call = api_.classify(request.method, request.target);
+  if (core_ == nullptr) {
+    answerOperator(exchange, kUnavailable, "{\"error\":\"storage takes no writes\"}");
+    return;
+  }
   if (call.type == ExternalCallType::kReadTraffic) {
     const ControlToken token = next_operator_token_++;
     operator_calls_[token] = exchange;
@@ -169,6 +213,10 @@
 
 void CoordinatorProcess::onReplacement(const std::string& base_version, const std::string& body,
                                        const std::shared_ptr<ServerExchange>& exchange) {
+  if (core_ == nullptr) {
+    answerOperator(exchange, kUnavailable, "{\"error\":\"storage takes no writes\"}");
+    return;
+  }
   auto replacement = api_.parseReplacement(base_version, body);
   if (replacement.value) {
     replacement.error = validateTraffic(replacement.value->configuration).value_or("");
@@ -235,6 +283,10 @@
 
 void CoordinatorProcess::onFrame(FrameToken token, const Frame& frame) {
   const TimePoint now = EventLoop::now();
+  if (core_ == nullptr) {
+    refuseFrame(token);
+    return;
+  }
   if (frame.kind == FrameKind::kRaftMessages) {
     const auto batch = decode<RaftBatch>(frame.body);
     if (batch) {
@@ -252,6 +304,14 @@
   scheduleWork();
 }
 
+// Whoever asks is told at once, and asks another member.
+void CoordinatorProcess::refuseFrame(FrameToken token) {
+  ControlReply reply;
+  reply.error = ErrorKind::kNoQuorum;
+  reply.reason = "this member's storage takes no writes";
+  frames_.answer(token, FrameKind::kControlReply, encode(reply));
+}
+
 // Everything that arrives within one turn of the loop shares a sync.
 void CoordinatorProcess::scheduleWork() {
   if (work_scheduled_) {
@@ -264,7 +324,14 @@
   });
 }
 
+bool CoordinatorProcess::persist(const ControlWork& work) {
+  return storage_->persist(work.raft) && (!work.snapshot || storage_->saveSnapshot(*work.snapshot));
+}
+
 void CoordinatorProcess::work() {
+  if (core_ == nullptr) {
+    return;
+  }
   const TimePoint now = EventLoop::now();
   core_->tick(now, wallClockMs());
   for (;;) {
@@ -272,12 +339,9 @@
     if (work.empty()) {
       break;
     }
-    const bool durable =
-        storage_.persist(work.raft) && (!work.snapshot || storage_.saveSnapshot(*work.snapshot));
-    if (!durable) {
-      // What is on disk is unknown now, so nothing may be promised any more.
-      logEvent(now.count(), "storage_failed", {{"folder", settings_.data_folder}});
-      std::_Exit(EXIT_FAILURE);
+    if (!persist(work)) {
+      onStorageRefused("write failed");
+      return;
     }
     carryOut(work);
     core_->done(work, now);
@@ -296,10 +360,13 @@
   }
   for (const MemberRequest& request : work.member_requests) {
     const std::uint64_t request_id = request.request_id;
+    const std::uint64_t core_number = core_number_;
     channels_.request(request.address, request.request, kMemberTimeout,
-                      [this, request_id](const std::optional<ControlReply>& reply) {
-                        core_->onMemberReply(request_id, reply, EventLoop::now());
-                        scheduleWork();
+                      [this, request_id, core_number](const std::optional<ControlReply>& reply) {
+                        if (core_ != nullptr && core_number == core_number_) {
+                          core_->onMemberReply(request_id, reply, EventLoop::now());
+                          scheduleWork();
+                        }
                       });
   }
 }
@@ -320,6 +387,9 @@
 
 // A member that no leader speaks to asks to be taken in: it may have been replaced meanwhile.
 void CoordinatorProcess::joinIfOutside() {
+  if (core_ == nullptr) {
+    return;
+  }
   const TimePoint now = EventLoop::now();
   const RaftNode& raft = core_->raft();
   const bool inside = core_->authoritative(now) && raft.membership().find(raft.id()) != nullptr;
@@ -360,7 +430,18 @@
       });
 }
 
+void CoordinatorProcess::reopenStorage() {
+  if (core_ != nullptr || EventLoop::now() < next_open_) {
+    return;
+  }
+  if (const auto error = openStorage()) {
+    logEvent(EventLoop::now().count(), "storage_damaged", {{"reason", *error}});
+    std::_Exit(EXIT_FAILURE);
+  }
+}
+
 void CoordinatorProcess::tick() {
+  reopenStorage();
   work();
   joinIfOutside();
   const TimePoint now = EventLoop::now();
--- a/control/coordinator/coordinator_process.h
+++ b/control/coordinator/coordinator_process.h
@@ -3,6 +3,10 @@
 // Carries out what ControlCore decides: keeps its log, talks to the other members and to daemons
 // in frames, and answers the operator over HTTP. One thread; a sync of the disk stops it, and a
 // disk that hangs makes the others elect another leader.
+//
+// A disk that takes no writes leaves unknown what is on it. The member then forgets all that it
+// holds in memory, as if it had ended: it neither votes nor answers, sends whoever asks to other
+// members, and reads its files anew every now and then until they take writes again.
 #pragma once
 
 #include <boost/asio/signal_set.hpp>
@@ -31,7 +35,12 @@
   void run() { loop_.run(); }
 
  private:
+  /// Reads the files and begins to take part, or tries again later if they take no writes. Gives
+  /// why the process must end, if it must.
   std::optional<std::string> openStorage();
+  void onStorageRefused(const std::string& reason);
+  void beginCore();
+  bool persist(const ControlWork& work);
   void bootstrapIfFirst();
   void serveOperator(const std::shared_ptr<ServerExchange>& exchange);
   void onReplacement(const std::string& base_version, const std::string& body,
@@ -39,6 +48,8 @@
   void onOperatorReply(ControlToken token, const ControlReply& reply);
   void redirectOrRefuse(const std::shared_ptr<ServerExchange>& exchange, const ControlReply& reply);
   void onFrame(FrameToken token, const Frame& frame);
+  void refuseFrame(FrameToken token);
+  void reopenStorage();
   void scheduleWork();
   void work();
   void carryOut(const ControlWork& work);
@@ -56,8 +67,11 @@
   CoordinatorSettings settings_;
   SettingsWatch settings_watch_;
   PosixFileSystem files_;
-  RaftStorage storage_;
-  std::unique_ptr<ControlCore> core_;
+  std::unique_ptr<RaftStorage> storage_;
+  std::unique_ptr<ControlCore> core_;  ///< None while the disk takes no writes.
+  std::uint64_t core_number_ = 0;      ///< Tells replies to requests of an earlier core.
+  std::optional<TimePoint> storage_refused_since_;
+  TimePoint next_open_{0};
   ControlChannels channels_;
   FrameServer frames_;
   StreamHttpServer operators_;
--- a/net/stream/frame_channel.cc
+++ b/net/stream/frame_channel.cc
@@ -72,6 +72,7 @@
   FrameServerConnection(EventLoop& loop, Tcp::socket socket, FrameServer& server)
       : TcpConnection(loop, std::move(socket)), server_(server) {}
   void start() { startReading(); }
+  void drop() { onEnd(ConnectionEnd::kBroken); }
   std::set<FrameToken> tokens;
 
  private:
@@ -144,6 +145,13 @@
   }
 }
 
+void FrameServer::dropConnections() {
+  const auto dropped = connections_;
+  for (const auto& connection : dropped) {
+    connection->drop();
+  }
+}
+
 class FrameClientConnection : public TcpConnection {
  public:
   FrameClientConnection(EventLoop& loop, FrameChannel& channel)
--- a/net/stream/frame_channel.h
+++ b/net/stream/frame_channel.h
@@ -64,6 +64,8 @@
   ~FrameServer();
   std::optional<std::string> start();
   void answer(FrameToken token, FrameKind kind, std::string body);
+  /// Ends all connections, so that whoever waits for an answer asks another process at once.
+  void dropConnections();
 
  private:
   friend class FrameServerConnection;
--- a/storage/raft_storage.cc
+++ b/storage/raft_storage.cc
@@ -141,7 +141,25 @@
   }
   recovery_.hard_state = hard_state.value_or(HardState{});
   recovery_.snapshot = snapshot.value_or(Snapshot{});
-  return openLog();
+  if (auto error = openLog()) {
+    return error;
+  }
+  return syncFound();
+}
+
+std::optional<std::string> RaftStorage::syncFound() {
+  if (log_bytes_ > 0 && !files_.sync(kLogFile)) {
+    return refused(kLogFile, "cannot be synced");
+  }
+  if (!files_.syncFolder()) {
+    return refused("data folder", "cannot be synced");
+  }
+  return std::nullopt;
+}
+
+std::string RaftStorage::refused(const char* file, const char* what) {
+  writes_refused_ = true;
+  return std::string(file) + ": " + what;
 }
 
 std::optional<std::string> RaftStorage::openIdentity(NodeId fresh_id) {
@@ -162,7 +180,7 @@
   }
   id_ = fresh_id;
   if (!replaceRecord(files_, kIdentityFile, Identity{fresh_id})) {
-    return std::string(kIdentityFile) + ": cannot be written";
+    return refused(kIdentityFile, "cannot be written");
   }
   return std::nullopt;
 }
@@ -191,7 +209,7 @@
   }
   log_bytes_ = offset;
   if (offset < bytes.size() && !(files_.truncate(kLogFile, offset) && files_.sync(kLogFile))) {
-    return std::string(kLogFile) + ": cannot cut the torn end";
+    return refused(kLogFile, "cannot cut the torn end");
   }
   first_index_ = entries.empty() ? recovery_.snapshot.index + 1 : entries.front().index;
   if (first_index_ > recovery_.snapshot.index + 1) {
@@ -216,7 +234,7 @@
     offsets_.clear();
   }
   if (overlaps && !rewriteLog(snapshot.index)) {
-    return std::string(kLogFile) + ": cannot be rewritten behind the snapshot";
+    return refused(kLogFile, "cannot be rewritten behind the snapshot");
   }
   return std::nullopt;
 }
--- a/storage/raft_storage.h
+++ b/storage/raft_storage.h
@@ -13,6 +13,8 @@
 // byte on holds only zeros (blocks never written). That record was never acknowledged and is cut.
 // Any other mismatch is damage to acknowledged data: the member refuses to start rather than guess,
 // and must be wiped and added anew (docs/OPERATIONS.md).
+// A start makes durable what it found: an earlier process may have been killed before its sync, and
+// whatever a start has read counts as stored.
 #pragma once
 
 #include <cstdint>
@@ -32,6 +34,9 @@
   /// Reads everything. Returns why the member must not start, or nothing. `fresh_id` becomes the
   /// identity if the folder has none; not zero.
   std::optional<std::string> open(NodeId fresh_id);
+  /// After open() has failed: whether the disk only took no writes, so that a new storage on the
+  /// same files may open later.
+  [[nodiscard]] bool mayOpenLater() const { return writes_refused_; }
   [[nodiscard]] NodeId id() const { return id_; }
   RaftRecovery takeRecovery() { return std::move(recovery_); }
 
@@ -48,6 +53,9 @@
   std::optional<std::string> openIdentity(NodeId fresh_id);
   std::optional<std::string> openLog();
   std::optional<std::string> takeEntries(std::vector<LogEntry> entries);
+  std::optional<std::string> syncFound();
+  /// Notes that the disk takes no writes; gives the reason.
+  std::string refused(const char* file, const char* what);
   bool truncateFrom(LogIndex index);
   bool appendEntries(const std::vector<LogEntry>& entries);
   bool rewriteLog(LogIndex after);
@@ -60,6 +68,7 @@
   std::size_t log_bytes_ = 0;
   std::size_t snapshot_bytes_ = 0;
   std::uint64_t syncs_ = 0;
+  bool writes_refused_ = false;
 };
 
 /// The bytes of one record.
--- a/tests/platform/stand_in.cc
+++ b/tests/platform/stand_in.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -115,6 +116,20 @@
   ::kill(process_, number);
 }
 
+void Program::fillDisk() const {
+  rlimit limit = {};
+  ::prlimit(process_, RLIMIT_FSIZE, nullptr, &limit);
+  limit.rlim_cur = 0;
+  ::prlimit(process_, RLIMIT_FSIZE, &limit, nullptr);
+}
+
+void Program::emptyDisk() const {
+  rlimit limit = {};
+  ::prlimit(process_, RLIMIT_FSIZE, nullptr, &limit);
+  limit.rlim_cur = limit.rlim_max;
+  ::prlimit(process_, RLIMIT_FSIZE, &limit, nullptr);
+}
+
 std::size_t Program::peakMemoryKib() const {
   std::ifstream status("/proc/" + std::to_string(process_) + "/status");
   for (std::string word; status >> word;) {
--- a/tests/platform/stand_in.h
+++ b/tests/platform/stand_in.h
@@ -28,6 +28,9 @@
   void signal(int number) const;
   /// Whether it still runs; afterwards exitStatus() tells how it ended.
   bool running();
+  /// Its disk takes no more bytes (a limit on the size of its files), or takes them again.
+  void fillDisk() const;
+  void emptyDisk() const;
   /// The most memory that it has held, in KiB.
   [[nodiscard]] std::size_t peakMemoryKib() const;
   [[nodiscard]] int exitStatus() const { return exit_status_; }
--- a/tests/storage/raft_storage_test.cc
+++ b/tests/storage/raft_storage_test.cc
@@ -89,6 +89,54 @@
   EXPECT_EQ(recovery_.entries.size(), 3U);
 }
 
+// A process that is killed between its write and its sync leaves what it never acknowledged. Its
+// next start counts that as stored and may acknowledge it: power that is lost then must not take it
+// back.
+TEST(RaftStorageReopened, WhatAStartFoundSurvivesALossOfPower) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    MemoryFileSystem files(seed);
+    {
+      RaftStorage storage(files);
+      ASSERT_FALSE(storage.open(kFresh));
+      RaftReady ready = appendOf(1, 3);
+      ready.hard_state = HardState{7, 3, 11};
+      ASSERT_TRUE(storage.persist(ready));
+    }
+    ASSERT_TRUE(files.append("log", encodeRecord(encode(entryAt(4)))));
+    ASSERT_TRUE(files.write("hard_state.new", encodeRecord(encode(HardState{7, 4, 12}))));
+    ASSERT_TRUE(files.sync("hard_state.new"));
+    ASSERT_TRUE(files.rename("hard_state.new", "hard_state"));
+    RaftStorage found(files);
+    ASSERT_FALSE(found.open(kFresh + 1));
+    const RaftRecovery before = found.takeRecovery();
+    ASSERT_EQ(before.entries.size(), 4U);
+    ASSERT_EQ(before.hard_state.term, 4U);
+    files.crash();
+    RaftStorage after(files);
+    ASSERT_FALSE(after.open(kFresh + 1)) << "seed " << seed;
+    const RaftRecovery recovery = after.takeRecovery();
+    EXPECT_EQ(recovery.entries.size(), 4U) << "seed " << seed;
+    EXPECT_EQ(recovery.hard_state.term, 4U) << "seed " << seed;
+  }
+}
+
+// A disk that takes no writes at one moment may take them at the next; damage stays.
+TEST(RaftStorageReopened, ADiskThatTakesNoWritesIsToldFromADamagedOne) {
+  MemoryFileSystem files(1);
+  files.failAfter(0);
+  RaftStorage refused(files);
+  EXPECT_TRUE(refused.open(kFresh));
+  EXPECT_TRUE(refused.mayOpenLater());
+  files.wipe();
+  RaftStorage fresh(files);
+  ASSERT_FALSE(fresh.open(kFresh));
+  EXPECT_FALSE(fresh.mayOpenLater());
+  files.flipByte("identity", 14);
+  RaftStorage damaged(files);
+  EXPECT_TRUE(damaged.open(kFresh));
+  EXPECT_FALSE(damaged.mayOpenLater());
+}
+
 TEST_F(RaftStorageTest, AFlippedByteInTheMiddleIsRefusedAndNothingIsInvented) {
   fill(4);
   const std::size_t size = files_.sizeOf("log");
