Whole trees are kept away at the front for a scarce service below, the least urgent rank first

Change: the daemon beside a server finds, from how long requests would wait, how many ranks of work are to be kept away (core/overload_controller); the level goes up with the answers, by the routes that call (core/call_attribution, core/overload_below); where a client's request begins it is refused at once with Retry-After, the least urgent rank first. Calls are never refused there. What is a call follows from deadlines that this daemon handed out itself; an id stays opaque.

--- a/core/instance_directory.h
+++ b/core/instance_directory.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "core/instance_registry.h"
+#include "core/overload_controller.h"
 #include "core/peer_liveness.h"
 #include "core/random.h"
 #include "core/time.h"
@@ -27,6 +28,7 @@
   std::uint32_t waiting = 0;
   Duration service_time{0};           ///< Smoothed.
   std::uint32_t failed_permille = 0;  ///< Recent requests that it failed or left unanswered.
+  shed_level shed = {};               ///< How much less work is to be begun for it.
 };
 
 /// A server as the directory knows it. Pointers stay valid for the life of the directory.
--- a/core/server_admission.h
+++ b/core/server_admission.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "core/overload_controller.h"
 #include "core/time.h"
 
 namespace ramppond {
@@ -74,6 +75,8 @@
   [[nodiscard]] Duration serviceTime(TimePoint now) const;
   /// How long a new request would wait at the present rate.
   [[nodiscard]] Duration expectedWait() const;
+  /// How much less work is to be begun for this server.
+  [[nodiscard]] shed_level shedLevel(TimePoint now) const { return overload_.level(now); }
   [[nodiscard]] const AdmissionCounters& counters() const { return counters_; }
 
  private:
@@ -96,7 +99,8 @@
   std::map<Position, Waiting> waiting_;
   std::map<AdmissionId, Position> positions_;
   Duration service_time_ = milliseconds(50);
-  double failed_ = 0;      ///< Smoothed share.
+  double failed_ = 0;  ///< Smoothed share.
+  overload_controller overload_;
   Duration begun_sum_{0};  ///< Sum of the times at which those under way were dispatched.
   AdmissionCounters counters_;
 };
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -57,6 +57,9 @@
       parseMilliseconds(exchange_->request().find(context_.api.headers().deadline_ms));
   deadline_ = received_ + std::min(wanted.value_or(route_->timeout), route_->timeout);
   service_ = chooseService(*route_, context_.random.uniform());
+  if (shed(wanted.value_or(route_->timeout))) {
+    return;
+  }
   HttpHead& head = exchange_->mutableRequest();
   head.removeHopByHop();
   removePeerHeaders(head);
@@ -69,6 +72,23 @@
   }
 }
 
+// Refusing a call would waste what its tree has cost: only requests of clients are refused here.
+bool ForwardedRequest::shed(Duration wanted) {
+  const auto origin = context_.calls.on_request(route_->name, received_ + wanted);
+  if (origin != request_origin::client) {
+    return false;
+  }
+  const std::uint32_t less_urgent = traffic_->lessUrgentThan(route_->priority);
+  for (const service_overload& below : context_.overload.of(route_->name, received_)) {
+    if (context_.random.uniform() < shed_share(below.level, less_urgent)) {
+      context_.counters.shed += 1;
+      answerOwn(kUnavailable, "overload of " + below.service, true);
+      return true;
+    }
+  }
+  return false;
+}
+
 // Finds the route, or answers at once.
 bool ForwardedRequest::admitHead() {
   traffic_ = context_.traffic;
@@ -122,6 +142,7 @@
   head.set(context_.api.headers().deadline_ms, formatMilliseconds(timeLeft()));
   head.fields.push_back({std::string(kPeerInstance), instance_->record.instance_id});
   head.fields.push_back({std::string(kPeerService), service_});
+  head.fields.push_back({std::string(kPeerRoute), route_->name});
   head.fields.push_back({std::string(kPeerPriority), std::to_string(route_->priority)});
   head.fields.push_back({std::string(kPeerPatienceMs), formatMilliseconds(patience)});
   if (isRepeatable(route_->kind)) {
@@ -308,15 +329,24 @@
   }
 }
 
+void ForwardedRequest::noteLoad(const HttpHead& head) {
+  const TimePoint now = EventLoop::now();
+  const auto load = parseLoad(head.find(kPeerLoad));
+  if (!load) {
+    return;
+  }
+  context_.directory.onLoad(*instance_, *load, now);
+  auto levels = parseOverload(head.find(kPeerOverload));
+  levels = strictest(std::move(levels), {{service_, load->shed}});
+  context_.overload.on_answer(route_->name, levels, now);
+}
+
 void ForwardedRequest::onResponseHead(HttpHead head) {
   if (over_ || instance_ == nullptr) {
     return;
   }
   context_.directory.onReached(*instance_, EventLoop::now());
-  const auto load = parseLoad(head.find(kPeerLoad));
-  if (load) {
-    context_.directory.onLoad(*instance_, *load, EventLoop::now());
-  }
+  noteLoad(head);
   readOutcome(head);
   if (own_answer_) {
     return;
--- a/daemon/proxy/forwarded_request.h
+++ b/daemon/proxy/forwarded_request.h
@@ -49,6 +49,9 @@
   void start();
   bool admitHead();
   [[nodiscard]] bool mayWaitForServer(TimePoint now) const;
+  /// Whether a client's request is refused at once for overload at a service that it needs.
+  bool shed(Duration wanted);
+  void noteLoad(const HttpHead& head);
   void attempt();
   void endAttempt();
   void afterAttempt(AttemptEnd end, const std::string& reason);
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -63,6 +63,7 @@
   HttpHead& head = exchange_->mutableRequest();
   instance_id_ = head.get(kPeerInstance);
   service_ = head.get(kPeerService);
+  route_ = head.get(kPeerRoute);
   const auto left = parseMilliseconds(head.find(context_.api.headers().deadline_ms));
   deadline_ = received_ + left.value_or(kDefaultTimeLeft);
   const std::string priority = head.get(kPeerPriority);
@@ -128,6 +129,7 @@
     return;
   }
   state_ = State::kRunning;
+  context_.calls.on_begun(admission_.id, route_, deadline_);
   HttpHead& head = exchange_->mutableRequest();
   head.set(context_.api.headers().deadline_ms, formatMilliseconds(left));
   upstream_ =
@@ -153,7 +155,7 @@
     head.fields.push_back({id_header, *id});
   }
   head.fields.push_back({std::string(kPeerOutcome), std::string(outcome) + ";" + reason});
-  head.fields.push_back({std::string(kPeerLoad), formatLoad(context_.serverLoad())});
+  addLoad(head);
   const TimePoint now = EventLoop::now();
   if (context_.refusals.allow(now.count())) {
     logEvent(now.count(), context_.refusals.event(),
@@ -169,6 +171,14 @@
   exchange->respond(std::move(head), "");
 }
 
+void InboundRequest::addLoad(HttpHead& head) {
+  head.fields.push_back({std::string(kPeerLoad), formatLoad(context_.serverLoad())});
+  const std::string below = formatOverload(context_.overloadBelow(route_));
+  if (!below.empty()) {
+    head.fields.push_back({std::string(kPeerOverload), below});
+  }
+}
+
 void InboundRequest::done() {
   state_ = State::kDone;
 }
@@ -178,6 +188,7 @@
     return;
   }
   under_way_ = false;
+  context_.calls.on_ended(admission_.id);
   context_.noteServerOutcome(outcome, upstream_ != nullptr && upstream_->reusedConnection());
   context_.admission.onFinished(begun_, outcome, EventLoop::now());
   context_.pumpAdmission();
@@ -245,7 +256,7 @@
     }
     return;
   }
-  head.fields.push_back({std::string(kPeerLoad), formatLoad(context_.serverLoad())});
+  addLoad(head);
   BodyFraming framing = framingOf(head);
   if (framing == BodyFraming::kNone && !bodiless(head.status)) {
     framing = BodyFraming::kChunked;
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -42,6 +42,8 @@
   bool refuseIfFenced();
   void refuse(std::string_view outcome, const std::string& reason, int status);
   void finishServerWork(ServerOutcome outcome);
+  /// Adds what the daemon that sent the request is told of load here and below.
+  void addLoad(HttpHead& head);
   void onServerRefusedConnection();
   void done();
 
@@ -51,6 +53,7 @@
   State state_ = State::kReceiving;
   std::string instance_id_;
   std::string service_;
+  std::string route_;
   AdmissionRequest admission_;
   TimePoint received_{0};
   TimePoint deadline_{0};
--- a/daemon/proxy/peer_headers.cc
+++ b/daemon/proxy/peer_headers.cc
@@ -4,12 +4,24 @@
 #include <array>
 #include <cmath>
 #include <cstdlib>
+#include <sstream>
 
 namespace ramppond {
 namespace {
 
 constexpr std::string_view kPrefix = "Ramppond-";
 constexpr double kLongestMs = 1e10;
+constexpr std::size_t kMostServices = 32;
+constexpr double kThousand = 1000;
+constexpr std::uint64_t kMostPermille = 1000000;
+
+std::uint64_t permille(shed_level level) {
+  return static_cast<std::uint64_t>(std::lround(level.value * kThousand));
+}
+
+shed_level levelOf(std::uint64_t permille) {
+  return {static_cast<double>(std::min(permille, kMostPermille)) / kThousand};
+}
 
 }  // namespace
 
@@ -25,14 +37,42 @@
 std::string formatLoad(const ServerLoad& load) {
   return std::to_string(load.limit) + "/" + std::to_string(load.under_way) + "/" +
          std::to_string(load.waiting) + "/" + std::to_string(load.service_time.count()) + "/" +
-         std::to_string(load.failed_permille);
+         std::to_string(load.failed_permille) + "/" + std::to_string(permille(load.shed));
+}
+
+std::string formatOverload(const std::vector<service_overload>& levels) {
+  std::string text;
+  for (const service_overload& entry : levels) {
+    if (entry.service.find_first_of(",=\r\n") != std::string::npos) {
+      continue;
+    }
+    text += (text.empty() ? "" : ",") + entry.service + "=" + std::to_string(permille(entry.level));
+  }
+  return text;
+}
+
+std::vector<service_overload> parseOverload(const std::string* text) {
+  std::vector<service_overload> levels;
+  if (text == nullptr) {
+    return levels;
+  }
+  std::istringstream entries(*text);
+  for (std::string entry; std::getline(entries, entry, ',') && levels.size() < kMostServices;) {
+    const std::size_t equals = entry.find('=');
+    if (equals == 0 || equals == std::string::npos) {
+      continue;
+    }
+    const std::uint64_t number = std::strtoull(entry.c_str() + equals + 1, nullptr, 10);
+    levels.push_back({entry.substr(0, equals), levelOf(number)});
+  }
+  return levels;
 }
 
 std::optional<ServerLoad> parseLoad(const std::string* text) {
   if (text == nullptr) {
     return std::nullopt;
   }
-  std::array<std::uint64_t, 5> numbers{};
+  std::array<std::uint64_t, 6> numbers{};
   const char* position = text->c_str();
   for (std::uint64_t& number : numbers) {
     char* end = nullptr;
@@ -48,6 +88,7 @@
   load.waiting = static_cast<std::uint32_t>(numbers[2]);
   load.service_time = Duration(static_cast<std::int64_t>(numbers[3]));
   load.failed_permille = static_cast<std::uint32_t>(numbers[4]);
+  load.shed = levelOf(numbers[5]);
   return load;
 }
 
--- a/daemon/proxy/peer_headers.h
+++ b/daemon/proxy/peer_headers.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "core/instance_directory.h"
+#include "core/overload_below.h"
 #include "net/stream/http_head.h"
 
 namespace ramppond {
@@ -25,8 +26,13 @@
 constexpr std::string_view kPeerOutcome = "Ramppond-Outcome";
 /// Answers: the connection ends, and whatever request comes next on it is not read.
 constexpr std::string_view kPeerFarewell = "Ramppond-Farewell";
+/// Requests: the name of the route.
+constexpr std::string_view kPeerRoute = "Ramppond-Route";
+/// Answers: overload at the services that requests of this route need further down, "service=level
+/// in thousandths of a rank", separated by commas.
+constexpr std::string_view kPeerOverload = "Ramppond-Overload";
 /// Answers: the load of the server, "limit/under way/waiting/service time in microseconds/
-/// thousandths of recent requests that failed".
+/// thousandths of recent requests that failed/shed level in thousandths of a rank".
 constexpr std::string_view kPeerLoad = "Ramppond-Load";
 
 /// The request was not handed to the server, for want of room.
@@ -42,6 +48,10 @@
 void removePeerHeaders(HttpHead& head);
 std::string formatLoad(const ServerLoad& load);
 std::optional<ServerLoad> parseLoad(const std::string* text);
+/// Services whose names would break the form are left out.
+std::string formatOverload(const std::vector<service_overload>& levels);
+/// Entries that are not of the form are passed over.
+std::vector<service_overload> parseOverload(const std::string* text);
 /// A number of milliseconds, fractions allowed; nothing if it is not one or is below 0.
 std::optional<Duration> parseMilliseconds(const std::string* text);
 /// Whole milliseconds, rounded down.
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -46,6 +46,25 @@
   }
 }
 
+std::uint32_t TrafficInForce::lessUrgentThan(std::uint32_t priority) const {
+  std::set<std::uint32_t> less_urgent;
+  for (const TrafficRoute& route : configuration.routes) {
+    if (route.priority > priority) {
+      less_urgent.insert(route.priority);
+    }
+  }
+  return static_cast<std::uint32_t>(less_urgent.size());
+}
+
+std::vector<service_overload> ProxyContext::overloadBelow(const std::string& route) const {
+  const TimePoint now = EventLoop::now();
+  std::vector<service_overload> levels;
+  for (const std::string& call : calls.calls_of(route)) {
+    levels = strictest(std::move(levels), overload.of(call, now));
+  }
+  return levels;
+}
+
 HttpClientPool& ProxyContext::peer(const std::string& daemon_address) {
   auto& pool = peers[daemon_address];
   if (pool == nullptr) {
@@ -77,6 +96,7 @@
   load.waiting = static_cast<std::uint32_t>(admission.waiting());
   load.service_time = admission.serviceTime(EventLoop::now());
   load.failed_permille = admission.failedPermille();
+  load.shed = admission.shedLevel(EventLoop::now());
   return load;
 }
 
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -8,10 +8,12 @@
 #include <string>
 
 #include "common/event_log.h"
+#include "core/call_attribution.h"
 #include "core/circuit_breaker.h"
 #include "core/external_api.h"
 #include "core/instance_directory.h"
 #include "core/local_server.h"
+#include "core/overload_below.h"
 #include "core/random.h"
 #include "core/retry_budget.h"
 #include "core/server_admission.h"
@@ -26,6 +28,8 @@
 struct TrafficInForce {
   explicit TrafficInForce(TrafficConfiguration taken)
       : configuration(std::move(taken)), routes(configuration) {}
+  /// Distinct priorities of routes that stand below this one.
+  [[nodiscard]] std::uint32_t lessUrgentThan(std::uint32_t priority) const;
   TrafficConfiguration configuration;
   TrafficRoutes routes;
 };
@@ -34,6 +38,7 @@
   std::uint64_t requests = 0;
   std::uint64_t answered = 0;  ///< By a server.
   std::uint64_t refused = 0;   ///< 503: not run.
+  std::uint64_t shed = 0;      ///< Of these, where they began, for overload further down.
   std::uint64_t failed = 0;    ///< 502 and 504: unknown.
   std::uint64_t no_route = 0;
   std::uint64_t clients_gone = 0;
@@ -70,6 +75,8 @@
   void applyServerLimits();
   /// The server beside it changed; tells whoever must know.
   void reportServer();
+  /// Overload at the services that requests of `route` need when they run at the own server.
+  [[nodiscard]] std::vector<service_overload> overloadBelow(const std::string& route) const;
   /// What the end of a request tells the breaker.
   void noteServerOutcome(ServerOutcome outcome, bool reused_connection);
   [[nodiscard]] ServerLoad serverLoad() const;
@@ -84,6 +91,8 @@
   LocalServer server;
   ServerAdmission admission;
   circuit_breaker breaker;  ///< Of the server beside it.
+  call_attribution calls;   ///< Of the server beside it.
+  overload_below overload;  ///< By the routes of requests that begin on this machine.
   HttpClientPool server_pool;
   std::map<std::string, std::unique_ptr<HttpClientPool>> peers;
   std::map<std::string, retry_budget> budgets;
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -327,6 +327,7 @@
            {{"requests", text(counters.requests)},
             {"answered", text(counters.answered)},
             {"refused", text(counters.refused)},
+            {"shed", text(counters.shed)},
             {"failed", text(counters.failed)},
             {"no_route", text(counters.no_route)},
             {"clients_gone", text(counters.clients_gone)},
--- /dev/null
+++ b/tests/core/overload_controller_test.cc
@@ -0,0 +1,84 @@
+#include "core/overload_controller.h"
+
+#include <gtest/gtest.h>
+
+#include <ostream>
+
+namespace ramppond {
+namespace {
+
+constexpr auto patience = milliseconds(60);
+constexpr auto between_offers = milliseconds(4);
+
+struct offers {
+  Duration wait;
+  Duration lasting;
+};
+
+struct level_case {
+  const char* name;
+  std::vector<offers> seen;
+  double least;
+  double most;
+};
+
+// Keeps the name of a test the same in every run.
+void PrintTo(const level_case& tested, std::ostream* out) {
+  *out << tested.name;
+}
+
+class overload_controller_table : public testing::TestWithParam<level_case> {};
+
+TEST_P(overload_controller_table, asks_to_keep_away) {
+  auto controller = overload_controller();
+  auto now = TimePoint(seconds(50));
+  for (const auto& part : GetParam().seen) {
+    const auto end = now + part.lasting;
+    for (; now < end; now += between_offers) controller.on_offer(part.wait, patience, now);
+  }
+  EXPECT_GE(controller.level(now).value, GetParam().least);
+  EXPECT_LE(controller.level(now).value, GetParam().most);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, overload_controller_table,
+    testing::Values(
+        level_case{"nothing_when_nobody_waits", {{milliseconds(0), seconds(2)}}, 0, 0},
+        level_case{"nothing_for_short_waits", {{milliseconds(12), seconds(2)}}, 0, 0},
+        level_case{"one_rank_after_a_second", {{milliseconds(90), seconds(1)}}, 0.7, 1.0},
+        level_case{"more_ranks_later", {{milliseconds(90), seconds(2)}}, 1.6, 2.0},
+        level_case{"a_bounded_number_of_ranks", {{milliseconds(90), seconds(9)}}, 3.0, 3.0},
+        level_case{"little_for_a_short_peak", {{milliseconds(90), milliseconds(150)}}, 0.0, 0.1},
+        level_case{"falls_off_without_waiting",
+                   {{milliseconds(90), seconds(2)}, {milliseconds(0), seconds(2)}},
+                   0.0,
+                   0.1},
+        level_case{"is_kept_at_the_target",
+                   {{milliseconds(90), seconds(1)}, {milliseconds(21), seconds(2)}},
+                   0.6,
+                   1.2}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST(overload_controller, falls_off_when_nobody_asks) {
+  auto controller = overload_controller();
+  auto now = TimePoint(seconds(50));
+  for (; now < seconds(52); now += between_offers) controller.on_offer(seconds(1), patience, now);
+  EXPECT_GT(controller.level(now).value, 1.5);
+  EXPECT_LT(controller.level(now + seconds(3)).value, 0.02);
+}
+
+TEST(overload_controller, who_may_not_wait_at_all_presses_only_if_it_would_have_to) {
+  auto controller = overload_controller();
+  auto now = TimePoint(seconds(50));
+  for (; now < seconds(52); now += between_offers) {
+    controller.on_offer(Duration(0), milliseconds(-5), now);
+  }
+  EXPECT_EQ(controller.level(now).value, 0);
+  for (; now < seconds(54); now += between_offers) {
+    controller.on_offer(milliseconds(1), milliseconds(-5), now);
+  }
+  EXPECT_GT(controller.level(now).value, 1.5);
+}
+
+}  // namespace
+}  // namespace ramppond
--- /dev/null
+++ b/tests/daemon/proxy/peer_headers_test.cc
@@ -0,0 +1,51 @@
+#include "daemon/proxy/peer_headers.h"
+
+#include <gtest/gtest.h>
+
+namespace ramppond {
+namespace {
+
+TEST(peer_headers, load_comes_back_as_it_was_told) {
+  ServerLoad load;
+  load.limit = 35;
+  load.under_way = 34;
+  load.waiting = 7;
+  load.service_time = milliseconds(61);
+  load.failed_permille = 12;
+  load.shed = {1.25};
+  const std::string text = formatLoad(load);
+  const auto parsed = parseLoad(&text);
+  ASSERT_TRUE(parsed);
+  EXPECT_EQ(formatLoad(*parsed), text);
+  EXPECT_DOUBLE_EQ(parsed->shed.value, 1.25);
+}
+
+TEST(peer_headers, overload_comes_back_as_it_was_told) {
+  const std::string text = formatOverload({{"records", {0.42}}, {"desk", {2.5}}});
+  EXPECT_EQ(text, "records=420,desk=2500");
+  EXPECT_EQ(formatOverload(parseOverload(&text)), text);
+}
+
+TEST(peer_headers, names_that_would_break_the_form_are_left_out) {
+  EXPECT_EQ(formatOverload({{"a,b", {1}}, {"a=b", {1}}, {"a\r\nb", {1}}, {"ab", {1}}}), "ab=1000");
+}
+
+TEST(peer_headers, malformed_overload_is_passed_over) {
+  EXPECT_TRUE(parseOverload(nullptr).empty());
+  for (const std::string text : {"", ",,", "=5", "name", "=,="}) {
+    EXPECT_TRUE(parseOverload(&text).empty()) << text;
+  }
+  const std::string large = "a=99999999999999999999999,b=x,c=-1";
+  for (const auto& entry : parseOverload(&large)) {
+    EXPECT_GE(entry.level.value, 0);
+    EXPECT_LE(entry.level.value, 1000);
+  }
+  std::string many;
+  for (int i = 0; i < 1000; ++i) {
+    many += "s" + std::to_string(i) + "=1,";
+  }
+  EXPECT_LE(parseOverload(&many).size(), 32U);
+}
+
+}  // namespace
+}  // namespace ramppond
