Servers are compared by their times for requests of the same route

Change: core/service_times keeps times by route beside the server; an answer tells the one of its own route, and the directory compares servers by that route. Tests: service_times_test, InstanceDirectoryTest.ServersAreComparedByTheirTimesForTheSameRoute (not seen red: the former interface cannot express it).

--- a/core/instance_directory.cc
+++ b/core/instance_directory.cc
@@ -30,6 +30,8 @@
 constexpr std::uint32_t kMaximumDoublings = 4;
 // Without word from its daemon a server is taken to have this many slots usable.
 constexpr double kAssumedLimit = 8;
+// Of one service that one daemon sends requests on.
+constexpr std::size_t kMostRoutes = 64;
 
 }  // namespace
 
@@ -48,6 +50,7 @@
   }
   if (known.record.instance_id != record.instance_id) {
     known.load = ServerLoad{};
+    known.service_times.clear();
     known.refused_until = TimePoint(0);
   }
   if (known.record.incarnation != record.incarnation) {
@@ -79,23 +82,32 @@
   return (std::max<double>(busy, instance.sent) + 1) / limit;
 }
 
+bool InstanceDirectory::toldRecently(const KnownInstance& instance, TimePoint now) {
+  return instance.load.limit > 0 && now - instance.load_told < kLoadRemembered;
+}
+
 // Nothing once it is old: a server that was slow gets a request again and tells how it does now.
 std::optional<Duration> InstanceDirectory::recentServiceTime(const KnownInstance& instance,
+                                                             const std::string& route,
                                                              TimePoint now) {
-  const bool recent = instance.load.limit > 0 && now - instance.load_told < kLoadRemembered;
-  return recent ? std::optional<Duration>(instance.load.service_time) : std::nullopt;
+  const auto found = instance.service_times.find(route);
+  const bool recent =
+      found != instance.service_times.end() && now - found->second.told < kLoadRemembered;
+  return recent ? std::optional<Duration>(found->second.time) : std::nullopt;
 }
 
-InstanceDirectory::ServiceBaseline InstanceDirectory::baselineOfCandidates(TimePoint now) {
+InstanceDirectory::ServiceBaseline InstanceDirectory::baselineOfCandidates(const std::string& route,
+                                                                           TimePoint now) {
   ServiceBaseline baseline;
   failed_.clear();
   for (const KnownInstance* instance : candidates_) {
-    const auto service_time = recentServiceTime(*instance, now);
-    if (!service_time) {
-      continue;
+    const auto service_time = recentServiceTime(*instance, route, now);
+    if (service_time) {
+      baseline.fastest = std::min(baseline.fastest.value_or(*service_time), *service_time);
+    }
+    if (toldRecently(*instance, now)) {
+      failed_.push_back(instance->load.failed_permille);
     }
-    baseline.fastest = std::min(baseline.fastest.value_or(*service_time), *service_time);
-    failed_.push_back(instance->load.failed_permille);
   }
   if (!failed_.empty()) {
     const auto median = failed_.begin() + static_cast<std::ptrdiff_t>((failed_.size() - 1) / 2);
@@ -105,16 +117,17 @@
   return baseline;
 }
 
-double InstanceDirectory::cost(const KnownInstance& instance, const ServiceBaseline& baseline,
-                               TimePoint now) {
-  const auto service_time = recentServiceTime(instance, now);
+double InstanceDirectory::cost(const KnownInstance& instance, const std::string& route,
+                               const ServiceBaseline& baseline, TimePoint now) {
+  const auto service_time = recentServiceTime(instance, route, now);
   double cost = kIdleCost + utilization(instance);
   if (service_time && baseline.fastest && *baseline.fastest > Duration(0)) {
     const double ratio =
         static_cast<double>(service_time->count()) / static_cast<double>(baseline.fastest->count());
     cost *= std::max(1.0, ratio / kOrdinarySpeedRatio);
   }
-  if (service_time && instance.load.failed_permille > baseline.median_failed_permille) {
+  const bool fails_more = instance.load.failed_permille > baseline.median_failed_permille;
+  if (fails_more && toldRecently(instance, now)) {
     const std::uint32_t excess = instance.load.failed_permille - baseline.median_failed_permille;
     cost *= 1 + kFailedWeight * excess / kThousand;
   }
@@ -126,7 +139,7 @@
   return cost + random_.uniform() * kTieBreak;
 }
 
-KnownInstance* InstanceDirectory::choose(const std::string& service,
+KnownInstance* InstanceDirectory::choose(const std::string& service, const std::string& route,
                                          const std::set<std::string>& excluded, TimePoint now) {
   const auto found = by_service_.find(service);
   if (found == by_service_.end()) {
@@ -138,11 +151,11 @@
       candidates_.push_back(instance);
     }
   }
-  const ServiceBaseline baseline = baselineOfCandidates(now);
+  const ServiceBaseline baseline = baselineOfCandidates(route, now);
   KnownInstance* best = nullptr;
   double best_cost = 0;
   for (KnownInstance* candidate : candidates_) {
-    const double candidate_cost = cost(*candidate, baseline, now);
+    const double candidate_cost = cost(*candidate, route, baseline, now);
     if (best == nullptr || candidate_cost < best_cost) {
       best = candidate;
       best_cost = candidate_cost;
@@ -164,7 +177,12 @@
   }
 }
 
-void InstanceDirectory::onLoad(KnownInstance& instance, const ServerLoad& load, TimePoint now) {
+void InstanceDirectory::onLoad(KnownInstance& instance, const std::string& route,
+                               const ServerLoad& load, TimePoint now) {
+  const bool known = instance.service_times.count(route) > 0;
+  if (load.service_time > Duration(0) && (known || instance.service_times.size() < kMostRoutes)) {
+    instance.service_times[route] = {load.service_time, now};
+  }
   instance.load = load;
   instance.load_told = now;
   instance.sent_since = 0;
--- a/core/instance_directory.h
+++ b/core/instance_directory.h
@@ -26,7 +26,7 @@
   std::uint32_t limit = 0;      ///< Requests that it lets the server work on at a time.
   std::uint32_t under_way = 0;  ///< Requests that the server works on.
   std::uint32_t waiting = 0;
-  Duration service_time{0};           ///< Smoothed.
+  Duration service_time{0};           ///< For requests of the route that asked; 0 for unknown.
   std::uint32_t failed_permille = 0;  ///< Recent requests that it failed or left unanswered.
   shed_level shed = {};               ///< How much less work is to be begun for it.
 };
@@ -36,7 +36,12 @@
   InstanceRecord record;
   ServerLoad load;
   TimePoint load_told{0};
-  std::uint32_t sent = 0;        ///< Own requests under way to it.
+  struct ToldTime {
+    Duration time{0};
+    TimePoint told{0};
+  };
+  std::map<std::string, ToldTime> service_times;  ///< By route.
+  std::uint32_t sent = 0;                         ///< Own requests under way to it.
   std::uint32_t sent_since = 0;  ///< Own requests sent since it last told its load.
   std::uint32_t failures = 0;    ///< Connections that failed in a row.
   TimePoint unreachable_until{0};
@@ -55,14 +60,17 @@
   explicit InstanceDirectory(InstanceDirectoryOptions options);
 
   void offer(const InstanceRecord& record);
-  /// A ready server of `service` whose daemon is not in `excluded`, or nullptr.
-  KnownInstance* choose(const std::string& service, const std::set<std::string>& excluded,
-                        TimePoint now);
+  /// A ready server of `service` for a request of `route` whose daemon is not in `excluded`, or
+  /// nullptr.
+  KnownInstance* choose(const std::string& service, const std::string& route,
+                        const std::set<std::string>& excluded, TimePoint now);
   [[nodiscard]] bool hasInstances(const std::string& service) const;
 
   void onSent(KnownInstance& instance, TimePoint now);
   void onEnded(KnownInstance& instance);
-  void onLoad(KnownInstance& instance, const ServerLoad& load, TimePoint now);
+  /// Told with the answer to a request of `route`.
+  void onLoad(KnownInstance& instance, const std::string& route, const ServerLoad& load,
+              TimePoint now);
   void onRefused(KnownInstance& instance, TimePoint now);
   void onUnreachable(KnownInstance& instance, TimePoint now);
   /// A request sent to it was answered, by its server or by its daemon.
@@ -81,15 +89,18 @@
 
  private:
   [[nodiscard]] static double utilization(const KnownInstance& instance);
+  [[nodiscard]] static bool toldRecently(const KnownInstance& instance, TimePoint now);
   [[nodiscard]] static std::optional<Duration> recentServiceTime(const KnownInstance& instance,
+                                                                 const std::string& route,
                                                                  TimePoint now);
   /// What is ordinary among the servers of one service that told their load lately.
   struct ServiceBaseline {
     std::optional<Duration> fastest;           ///< The shortest service time.
     std::uint32_t median_failed_permille = 0;  ///< The lower median.
   };
-  ServiceBaseline baselineOfCandidates(TimePoint now);
-  double cost(const KnownInstance& instance, const ServiceBaseline& baseline, TimePoint now);
+  ServiceBaseline baselineOfCandidates(const std::string& route, TimePoint now);
+  double cost(const KnownInstance& instance, const std::string& route,
+              const ServiceBaseline& baseline, TimePoint now);
   [[nodiscard]] bool usable(const KnownInstance& instance, const std::string& service,
                             const std::set<std::string>& excluded, TimePoint now) const;
 
--- a/core/server_admission.cc
+++ b/core/server_admission.cc
@@ -59,7 +59,7 @@
   }
   under_way_ -= 1;
   begun_sum_ -= begun;
-  const bool done = outcome == ServerOutcome::kAnswered || outcome == ServerOutcome::kDeadline;
+  const bool done = isWork(outcome);
   if (done) {
     service_time_ += (now - begun - service_time_) / kSmoothing;
   }
--- a/core/server_admission.h
+++ b/core/server_admission.h
@@ -31,6 +31,11 @@
   kWithdrawn,  ///< The caller lost interest, or it never reached the server.
 };
 
+/// Whether the server did the request, so that its time tells of its speed.
+inline bool isWork(ServerOutcome outcome) {
+  return outcome == ServerOutcome::kAnswered || outcome == ServerOutcome::kDeadline;
+}
+
 enum class AdmissionVerdict : std::uint8_t { kDispatch, kWait, kRefuse };
 
 struct AdmissionRequest {
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -120,7 +120,7 @@
 
 void ForwardedRequest::attempt() {
   const TimePoint now = EventLoop::now();
-  instance_ = context_.directory.choose(service_, tried_, now);
+  instance_ = context_.directory.choose(service_, route_->name, tried_, now);
   if (instance_ == nullptr && mayWaitForServer(now)) {
     wait_timer_.after(kServerWaitInterval, [this] { attempt(); });
     return;
@@ -335,7 +335,7 @@
   if (!load) {
     return;
   }
-  context_.directory.onLoad(*instance_, *load, now);
+  context_.directory.onLoad(*instance_, route_->name, *load, now);
   auto levels = parseOverload(head.find(kPeerOverload));
   levels = strictest(std::move(levels), {{service_, load->shed}});
   context_.overload.on_answer(route_->name, levels, now);
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -118,6 +118,7 @@
 void InboundRequest::onAdmitted() {
   under_way_ = true;
   begun_ = EventLoop::now();
+  context_.times.on_begun(route_, begun_);
   if (state_ == State::kDone || refuseIfFenced()) {
     finishServerWork(ServerOutcome::kWithdrawn);
     return;
@@ -164,7 +165,7 @@
               {"reason", reason},
               {"instance", instance_id_},
               {"held_us", std::to_string((now - received_).count())},
-              {"load", formatLoad(context_.serverLoad())}});
+              {"load", formatLoad(context_.serverLoad(route_))}});
   }
   const auto exchange = exchange_;
   done();
@@ -172,7 +173,7 @@
 }
 
 void InboundRequest::addLoad(HttpHead& head) {
-  head.fields.push_back({std::string(kPeerLoad), formatLoad(context_.serverLoad())});
+  head.fields.push_back({std::string(kPeerLoad), formatLoad(context_.serverLoad(route_))});
   const std::string below = formatOverload(context_.overloadBelow(route_));
   if (!below.empty()) {
     head.fields.push_back({std::string(kPeerOverload), below});
@@ -189,6 +190,7 @@
   }
   under_way_ = false;
   context_.calls.on_ended(admission_.id);
+  context_.times.on_ended(route_, begun_, isWork(outcome), EventLoop::now());
   context_.noteServerOutcome(outcome, upstream_ != nullptr && upstream_->reusedConnection());
   context_.admission.onFinished(begun_, outcome, EventLoop::now());
   context_.pumpAdmission();
--- a/daemon/proxy/peer_ping.cc
+++ b/daemon/proxy/peer_ping.cc
@@ -21,7 +21,7 @@
   const auto now = EventLoop::now();
   this->context.directory.onPingAnswered(this->instance, now);
   if (const auto load = parseLoad(head.find(kPeerLoad))) {
-    this->context.directory.onLoad(this->instance, *load, now);
+    this->context.directory.onLoad(this->instance, "", *load, now);
   }
 }
 
@@ -36,7 +36,7 @@
   }
   auto head = HttpHead();
   head.status = 200;
-  head.fields.push_back({std::string(kPeerLoad), formatLoad(context.serverLoad())});
+  head.fields.push_back({std::string(kPeerLoad), formatLoad(context.serverLoad(""))});
   exchange->respond(std::move(head), "");
   return true;
 }
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -89,14 +89,15 @@
       .first->second;
 }
 
-ServerLoad ProxyContext::serverLoad() const {
+ServerLoad ProxyContext::serverLoad(const std::string& route) const {
+  const TimePoint now = EventLoop::now();
   ServerLoad load;
   load.limit = admission.limit();
   load.under_way = static_cast<std::uint32_t>(admission.underWay());
   load.waiting = static_cast<std::uint32_t>(admission.waiting());
-  load.service_time = admission.serviceTime(EventLoop::now());
+  load.service_time = times.of(route, now).value_or(Duration(0));
   load.failed_permille = admission.failedPermille();
-  load.shed = admission.shedLevel(EventLoop::now());
+  load.shed = admission.shedLevel(now);
   return load;
 }
 
@@ -147,6 +148,7 @@
   if (server.known() && server.heartbeat().instance_id != judged_instance) {
     judged_instance = server.heartbeat().instance_id;
     breaker = circuit_breaker();
+    times = service_times();
   }
   applyServerLimits();
   if (on_server_changed) {
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -17,6 +17,7 @@
 #include "core/random.h"
 #include "core/retry_budget.h"
 #include "core/server_admission.h"
+#include "core/service_times.h"
 #include "core/traffic_configuration.h"
 #include "daemon/proxy/proxy_settings.h"
 #include "net/stream/event_loop.h"
@@ -79,7 +80,8 @@
   [[nodiscard]] std::vector<service_overload> overloadBelow(const std::string& route) const;
   /// What the end of a request tells the breaker.
   void noteServerOutcome(ServerOutcome outcome, bool reused_connection);
-  [[nodiscard]] ServerLoad serverLoad() const;
+  /// The load of the own server, as told with the answer to a request of `route`.
+  [[nodiscard]] ServerLoad serverLoad(const std::string& route) const;
 
   EventLoop& loop;
   const ExternalApi& api;
@@ -90,6 +92,7 @@
   InstanceDirectory directory;
   LocalServer server;
   ServerAdmission admission;
+  service_times times;      ///< Of the server beside it.
   circuit_breaker breaker;  ///< Of the server beside it.
   call_attribution calls;   ///< Of the server beside it.
   overload_below overload;  ///< By the routes of requests that begin on this machine.
--- a/tests/core/instance_directory_test.cc
+++ b/tests/core/instance_directory_test.cc
@@ -22,13 +22,13 @@
 class InstanceDirectoryTest : public testing::Test {
  protected:
   std::string choose(const std::set<std::string>& excluded = {}) {
-    const KnownInstance* chosen = directory_.choose("desk", excluded, now_);
+    const KnownInstance* chosen = directory_.choose("desk", "route", excluded, now_);
     return chosen == nullptr ? "" : chosen->record.daemon_address;
   }
   KnownInstance& find(const std::string& daemon) {
     std::set<std::string> others = {"near", "far", "other"};
     others.erase(daemon);
-    return *directory_.choose("desk", others, now_);
+    return *directory_.choose("desk", "route", others, now_);
   }
   InstanceDirectory directory_{{"zone-a", 1}};
   TimePoint now_ = seconds(10);
@@ -38,8 +38,8 @@
   directory_.offer(record("far", "zone-b"));
   directory_.offer(record("near", "zone-a"));
   EXPECT_EQ(choose(), "near");
-  directory_.onLoad(find("near"), {10, 9, 0, milliseconds(10), 0}, now_);
-  directory_.onLoad(find("far"), {10, 1, 0, milliseconds(10), 0}, now_);
+  directory_.onLoad(find("near"), "route", {10, 9, 0, milliseconds(10), 0}, now_);
+  directory_.onLoad(find("far"), "route", {10, 1, 0, milliseconds(10), 0}, now_);
   EXPECT_EQ(choose(), "far");
   EXPECT_EQ(choose({"far"}), "near");
   EXPECT_EQ(choose({"far", "near"}), "");
@@ -48,22 +48,35 @@
 TEST_F(InstanceDirectoryTest, ASlowServerIsAvoidedAndAskedAgainLater) {
   directory_.offer(record("far", "zone-b"));
   directory_.offer(record("near", "zone-a"));
-  directory_.onLoad(find("near"), {10, 2, 0, milliseconds(20), 0}, now_);
-  directory_.onLoad(find("far"), {10, 2, 0, milliseconds(10), 0}, now_);
+  directory_.onLoad(find("near"), "route", {10, 2, 0, milliseconds(20), 0}, now_);
+  directory_.onLoad(find("far"), "route", {10, 2, 0, milliseconds(10), 0}, now_);
   EXPECT_EQ(choose(), "near");  // Twice as slow is nothing out of the ordinary.
-  directory_.onLoad(find("near"), {10, 2, 0, milliseconds(120), 0}, now_);
+  directory_.onLoad(find("near"), "route", {10, 2, 0, milliseconds(120), 0}, now_);
   EXPECT_EQ(choose(), "far");
   now_ += seconds(3);
   EXPECT_EQ(choose(), "near");
 }
 
+// Requests of one route may take many times as long as those of another: whoever happens to have
+// many of them is not slow.
+TEST_F(InstanceDirectoryTest, ServersAreComparedByTheirTimesForTheSameRoute) {
+  directory_.offer(record("far", "zone-b"));
+  directory_.offer(record("near", "zone-a"));
+  directory_.onLoad(find("near"), "route", {10, 2, 0, milliseconds(55), 0}, now_);
+  directory_.onLoad(find("near"), "long", {10, 2, 0, milliseconds(870), 0}, now_);
+  directory_.onLoad(find("far"), "route", {10, 2, 0, milliseconds(55), 0}, now_);
+  EXPECT_EQ(choose(), "near");
+  directory_.onLoad(find("near"), "route", {10, 2, 0, milliseconds(400), 0}, now_);
+  EXPECT_EQ(choose(), "far");
+}
+
 TEST_F(InstanceDirectoryTest, AServerThatLosesAnswersIsAvoidedWhileOthersHaveRoom) {
   directory_.offer(record("far", "zone-b"));
   directory_.offer(record("near", "zone-a"));
-  directory_.onLoad(find("near"), {10, 2, 0, milliseconds(10), 300}, now_);
-  directory_.onLoad(find("far"), {10, 2, 0, milliseconds(10), 0}, now_);
+  directory_.onLoad(find("near"), "route", {10, 2, 0, milliseconds(10), 300}, now_);
+  directory_.onLoad(find("far"), "route", {10, 2, 0, milliseconds(10), 0}, now_);
   EXPECT_EQ(choose(), "far");
-  directory_.onLoad(find("far"), {10, 10, 9, milliseconds(10), 0}, now_);
+  directory_.onLoad(find("far"), "route", {10, 10, 9, milliseconds(10), 0}, now_);
   EXPECT_EQ(choose(), "near");
 }
 
@@ -72,11 +85,11 @@
   directory_.offer(record("near", "zone-a"));
   directory_.offer(record("far", "zone-b"));
   directory_.offer(record("other", "zone-b"));
-  directory_.onLoad(find("near"), {10, 1, 0, milliseconds(40), 400}, now_);
-  directory_.onLoad(find("far"), {10, 1, 0, milliseconds(40), 400}, now_);
-  directory_.onLoad(find("other"), {10, 1, 0, milliseconds(40), 380}, now_);
+  directory_.onLoad(find("near"), "route", {10, 1, 0, milliseconds(40), 400}, now_);
+  directory_.onLoad(find("far"), "route", {10, 1, 0, milliseconds(40), 400}, now_);
+  directory_.onLoad(find("other"), "route", {10, 1, 0, milliseconds(40), 380}, now_);
   EXPECT_EQ(choose(), "near");
-  directory_.onLoad(find("near"), {10, 1, 0, milliseconds(40), 900}, now_);
+  directory_.onLoad(find("near"), "route", {10, 1, 0, milliseconds(40), 900}, now_);
   EXPECT_NE(choose(), "near");
 }
 
