Answers to others that come alone do not end a request

Cause, found while adding interim answers between daemons: when a surplus answer to an earlier request, or an interim answer, came in a segment of its own, the request was told to have ended, without a head; nobody answered it any more. The protocol allows both from servers. Test: HttpStreamTest.OtherAnswersThatComeAloneDoNotEndTheRequest, red without the change. With it: ClientHandler::onInterim and ServerExchange::sendInterim, used by the next change.

--- a/net/stream/http_client.cc
+++ b/net/stream/http_client.cc
@@ -148,7 +148,8 @@
 void HttpClientConnection::parse(std::string_view bytes) {
   const auto self = shared_from_this();
   std::size_t used = 0;
-  while (exchange_ != nullptr && used < bytes.size()) {
+  bool whole = false;
+  while (exchange_ != nullptr && used < bytes.size() && !whole) {
     const ParseStep step = parser_->parse(bytes.substr(used));
     used += step.consumed;
     if (exchange_ == nullptr) {
@@ -162,10 +163,10 @@
       input_.assign(bytes.substr(used));
       return;
     }
-    if (!onMessageComplete()) {
-      continue;
-    }
-    break;
+    whole = onMessageComplete();
+  }
+  if (!whole) {
+    return;  // What came so far were other answers; the own one is still awaited.
   }
   // Bytes behind a whole answer belong to no request.
   if (used < bytes.size()) {
@@ -182,6 +183,12 @@
 void HttpClientConnection::onMessageHead(HttpHead head) {
   interim_ = head.status >= 100 && head.status < 200;
   surplus_ = false;
+  if (interim_ && exchange_ != nullptr) {
+    const auto told = handler();
+    if (told != nullptr) {
+      told->onInterim(head.status);
+    }
+  }
   if (interim_ || exchange_ == nullptr) {
     return;
   }
--- a/net/stream/http_client.h
+++ b/net/stream/http_client.h
@@ -33,6 +33,8 @@
 class ClientHandler {
  public:
   virtual ~ClientHandler() = default;
+  /// An interim answer came; the answer itself follows.
+  virtual void onInterim(int /*status*/) {}
   virtual void onResponseHead(HttpHead head) = 0;
   virtual void onResponseBody(std::string_view data) = 0;
   virtual void onResponseEnd() = 0;
--- a/net/stream/http_server.cc
+++ b/net/stream/http_server.cc
@@ -320,6 +320,15 @@
   }
 }
 
+void ServerExchange::sendInterim(int status) {
+  if (over() || head_sent_) {
+    return;
+  }
+  HttpHead head;
+  head.status = status;
+  put(responseHeadBytes(head, BodyFraming::kNone, false));
+}
+
 void ServerExchange::sendHead(const HttpHead& head, BodyFraming framing) {
   if (over() || head_sent_) {
     return;
--- a/net/stream/http_server.h
+++ b/net/stream/http_server.h
@@ -65,6 +65,8 @@
   void setHandler(std::shared_ptr<ExchangeHandler> handler) { handler_ = std::move(handler); }
   [[nodiscard]] bool hasBody() const;
 
+  /// An interim answer (RFC 9110, 15.2) before the answer itself.
+  void sendInterim(int status);
   /// Begins the answer; sendBody() and finish() follow. kLength takes head.content_length.
   void sendHead(const HttpHead& head, BodyFraming framing);
   void sendBody(std::string_view data);
--- a/tests/net/stream/http_stream_test.cc
+++ b/tests/net/stream/http_stream_test.cc
@@ -116,6 +116,9 @@
   Endpoint endpoint_;
 };
 
+/// In a scripted answer: what follows leaves a moment later.
+constexpr char kPause = '\x01';
+
 /// Accepts connections one after the other and answers each request with the next given bytes.
 class ScriptedServer {
  public:
@@ -133,7 +136,7 @@
   class Connection : public TcpConnection {
    public:
     Connection(EventLoop& loop, boost::asio::ip::tcp::socket socket, ScriptedServer& server)
-        : TcpConnection(loop, std::move(socket)), server_(server) {}
+        : TcpConnection(loop, std::move(socket)), server_(server), pause_(loop) {}
     void start() { startReading(); }
 
    private:
@@ -150,11 +153,20 @@
           abort(true);
           return;
         }
-        write(answer);
+        writeParts(answer);
+      }
+    }
+    // Parts are separated by kPause and leave one after the other.
+    void writeParts(const std::string& answer) {
+      const std::size_t end = answer.find(kPause);
+      write(answer.substr(0, end));
+      if (end != std::string::npos) {
+        pause_.after(milliseconds(20), [this, rest = answer.substr(end + 1)] { writeParts(rest); });
       }
     }
     void onEnd(ConnectionEnd /*end*/) override { abort(false); }
     ScriptedServer& server_;
+    LoopTimer pause_;
     std::string input_;
   };
   void accept() {
@@ -381,6 +393,23 @@
   EXPECT_EQ(scripted.accepted, 2U);
 }
 
+TEST_F(HttpStreamTest, OtherAnswersThatComeAloneDoNotEndTheRequest) {
+  const std::string own = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 3\r\n\r\nown";
+  const std::vector<std::string> others = {
+      "HTTP/1.1 102 Processing\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nRequest-Id: old\r\nContent-Length: 3\r\n\r\nold",
+  };
+  for (const std::string& other : others) {
+    endpoint_ = freeEndpoint(loop_);
+    pool_.reset();
+    ScriptedServer scripted(loop_, endpoint_, {other + kPause + own});
+    const auto client = send("a", "");
+    run();
+    EXPECT_TRUE(client->complete) << other;
+    EXPECT_EQ(client->body, "own") << other;
+  }
+}
+
 TEST_F(HttpStreamTest, BytesBehindAnAnswerEndItsConnection) {
   const std::string own = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 3\r\n\r\nown";
   const std::string other = "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 1\r\n\r\nb";
