What may not be repeated is confirmed before it runs: until then it may go elsewhere

By the log: requests sent over a connection to a daemon that had lost power since (ended by a reset after 2 to 3 ms), and to daemons that were gone. One that may not be repeated could not be sent elsewhere, since nobody knew whether it had run. Change: its end is held back until the daemon beside the server has room and says so (102); until then whatever happens proves that it has not run, so it goes to another server at no cost to the budget, or gets a true 503. One round trip more for these requests. Test: ForwardingDay.WhatMayNotBeRepeatedIsNotLostWithAFrozenDaemon.

--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -24,6 +24,8 @@
 // A request for a service of which no server is known waits for this share of its goal.
 constexpr std::int64_t kServerWaitDivisor = 4;
 constexpr Duration kServerWaitInterval = milliseconds(20);
+// A peer answers within the time that a request may wait there and a round trip.
+constexpr Duration kAdmissionMargin = milliseconds(250);
 constexpr Duration kLeastTimeForAttempt = milliseconds(10);
 // Told to whoever is refused: a third to two thirds of the goal, drawn so that those refused
 // together do not come back together.
@@ -45,7 +47,8 @@
     : context_(context),
       exchange_(std::move(exchange)),
       deadline_timer_(context.loop),
-      wait_timer_(context.loop) {}
+      wait_timer_(context.loop),
+      confirm_timer_(context.loop) {}
 
 void ForwardedRequest::start() {
   context_.counters.requests += 1;
@@ -150,12 +153,52 @@
   }
   context_.directory.onSent(*instance_, now);
   context_.under_way.insert(this);
-  upstream_ = context_.peer(instance_->record.daemon_address)
-                  .start(head, framingOf(head), body_, body_ended_, shared_from_this());
+  send(std::move(head));
+}
+
+// What may not be repeated is not complete at the peer before there is room for it there: whatever
+// happens until then, it has not run and may go elsewhere.
+void ForwardedRequest::send(HttpHead head) {
+  HttpClientPool& peer = context_.peer(instance_->record.daemon_address);
+  confirms_ = !isRepeatable(route_->kind) && body_ended_;
+  confirmed_ = false;
+  if (!confirms_) {
+    upstream_ = peer.start(head, framingOf(head), body_, body_ended_, shared_from_this());
+    return;
+  }
+  head.fields.push_back(
+      {std::string(kPeerConfirm), formatBodyForm({body_.size(), framingOf(head)})});
+  head.content_length.reset();
+  head.chunked = true;
+  upstream_ = peer.start(head, BodyFraming::kChunked, body_, false, shared_from_this());
+  const Duration patience = route_->goal / kPatienceDivisor;
+  confirm_timer_.after(patience + kAdmissionMargin, [this] { onNotAdmitted(); });
+}
+
+void ForwardedRequest::onInterim(int /*status*/) {
+  if (over_ || !heldBack() || upstream_ == nullptr) {
+    return;
+  }
+  confirmed_ = true;
+  confirm_timer_.cancel();
+  upstream_->finishBody();
+}
+
+// The peer neither has room nor refuses: it is gone or stands still.
+void ForwardedRequest::onNotAdmitted() {
+  if (over_ || !heldBack() || upstream_ == nullptr) {
+    return;
+  }
+  const auto self = shared_from_this();
+  context_.directory.onUnreachable(*instance_, EventLoop::now());
+  upstream_->cancel();
+  afterAttempt(AttemptEnd::kNotSent, "not admitted");
 }
 
 void ForwardedRequest::endAttempt() {
   context_.under_way.erase(this);
+  confirm_timer_.cancel();
+  confirms_ = false;
   if (instance_ != nullptr) {
     context_.directory.onEnded(*instance_);
     instance_ = nullptr;
@@ -205,7 +248,14 @@
 
 void ForwardedRequest::onPeerSilent(const KnownInstance& instance) {
   const bool waits_there = !over_ && instance_ == &instance && upstream_ != nullptr;
-  if (!waits_there || answer_held_ || exchange_->headSent() || !isRepeatable(route_->kind)) {
+  if (!waits_there || answer_held_ || exchange_->headSent()) {
+    return;
+  }
+  if (heldBack()) {
+    onNotAdmitted();
+    return;
+  }
+  if (!isRepeatable(route_->kind)) {
     return;
   }
   if (!mayRepeat(AttemptEnd::kUnknown, arrivals_ + 1)) {
@@ -290,7 +340,7 @@
   if (over_) {
     return;
   }
-  const bool under_way = upstream_ != nullptr && upstream_->sent();
+  const bool under_way = upstream_ != nullptr && upstream_->sent() && !heldBack();
   wait_timer_.cancel();
   if (upstream_ != nullptr) {
     upstream_->cancel();
@@ -348,6 +398,9 @@
   context_.directory.onReached(*instance_, EventLoop::now());
   noteLoad(head);
   readOutcome(head);
+  if (heldBack() && upstream_ != nullptr) {
+    upstream_->finishBody();  // Refused: the connection can be used again.
+  }
   if (own_answer_) {
     return;
   }
@@ -433,6 +486,7 @@
   }
   const bool not_connected =
       failure == ClientFailure::kNotConnected || failure == ClientFailure::kRefused;
+  const bool held_back = heldBack();
   if (not_connected || failure == ClientFailure::kNoAnswer) {
     context_.directory.onUnreachable(*instance_, EventLoop::now());
   }
@@ -440,7 +494,7 @@
     afterAttempt(AttemptEnd::kNotSent, "not connected");
     return;
   }
-  afterAttempt(AttemptEnd::kUnknown, "connection lost");
+  afterAttempt(held_back ? AttemptEnd::kNotSent : AttemptEnd::kUnknown, "connection lost");
 }
 
 std::string ForwardedRequest::retryAfter() {
--- a/daemon/proxy/forwarded_request.h
+++ b/daemon/proxy/forwarded_request.h
@@ -32,6 +32,7 @@
   void onClientGone() override;
   void onResponseDrained() override;
 
+  void onInterim(int status) override;
   void onResponseHead(HttpHead head) override;
   void onResponseBody(std::string_view data) override;
   void onResponseEnd() override;
@@ -53,6 +54,10 @@
   bool shed(Duration wanted);
   void noteLoad(const HttpHead& head);
   void attempt();
+  void send(HttpHead head);
+  void onNotAdmitted();
+  /// Whether the attempt under way cannot have reached a server: its end is still held back.
+  [[nodiscard]] bool heldBack() const { return confirms_ && !confirmed_; }
   void endAttempt();
   void afterAttempt(AttemptEnd end, const std::string& reason);
   void noteAttempt(AttemptEnd end);
@@ -77,13 +82,16 @@
   KnownInstance* instance_ = nullptr;  ///< Of the attempt under way.
   std::set<std::string> tried_;
   LoopTimer deadline_timer_;
-  LoopTimer wait_timer_;  ///< Runs while no server is known.
+  LoopTimer wait_timer_;     ///< Runs while no server is known.
+  LoopTimer confirm_timer_;  ///< Runs while the attempt's end is held back.
   TimePoint received_{0};
   TimePoint deadline_{0};
   std::string body_;  ///< Held for a further attempt.
   std::uint64_t body_bytes_ = 0;
   bool body_ended_ = false;
   bool body_streamed_ = false;  ///< Parts of the body are no longer held: no second attempt.
+  bool confirms_ = false;       ///< The attempt's end is held back until the peer has room.
+  bool confirmed_ = false;      ///< It has been sent.
   bool over_ = false;
   bool own_answer_ = false;  ///< The attempt's answer was made by the peer daemon.
   AttemptEnd own_answer_end_ = AttemptEnd::kNotSent;
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -15,6 +15,10 @@
 // The daemon that sent a request gives it up at its deadline, a moment before ours.
 constexpr Duration kDeadlineMargin = milliseconds(20);
 constexpr Duration kLeastTimeLeft = milliseconds(2);
+constexpr int kProcessing = 102;
+// Between daemons a confirmation takes a round trip. A slot is not held longer for a sender that
+// may be gone.
+constexpr Duration kConfirmationTime = milliseconds(300);
 
 ServerOutcome outcomeOf(int status) {
   constexpr int kServerError = 500;
@@ -55,7 +59,7 @@
 }
 
 InboundRequest::InboundRequest(ProxyContext& context, std::shared_ptr<ServerExchange> exchange)
-    : context_(context), exchange_(std::move(exchange)) {}
+    : context_(context), exchange_(std::move(exchange)), confirm_timer_(context.loop) {}
 
 void InboundRequest::start() {
   context_.counters.inbound += 1;
@@ -72,17 +76,23 @@
   admission_.patience = parseMilliseconds(head.find(kPeerPatienceMs)).value_or(Duration(0));
   head.removeHopByHop();
   repeatable_ = head.find(kPeerRepeatable) != nullptr;
+  confirmed_by_end_ = parseBodyForm(head.get(kPeerConfirm));
   removePeerHeaders(head);
   head.set(context_.api.headers().expect_instance, instance_id_);
   if (refuseIfFenced()) {
     return;
   }
-  if (!exchange_->hasBody()) {
-    body_ended_ = true;
+  body_ended_ = !exchange_->hasBody();
+  if (bodyArrived()) {
     askAdmission();
   }
 }
 
+// Whether everything has come that is needed to ask for room.
+bool InboundRequest::bodyArrived() const {
+  return body_ended_ || (confirmed_by_end_ && body_.size() >= confirmed_by_end_->bytes);
+}
+
 bool InboundRequest::refuseIfFenced() {
   const FenceVerdict verdict = context_.server.admit(instance_id_, service_, EventLoop::now());
   if (verdict == FenceVerdict::kAdmit && !context_.refuse_peers) {
@@ -123,16 +133,59 @@
     finishServerWork(ServerOutcome::kWithdrawn);
     return;
   }
-  const Duration left = deadline_ - begun_;
-  if (left < kLeastTimeLeft) {
+  if (deadline_ - begun_ < kLeastTimeLeft) {
     refuse(kOutcomeBusy, "deadline", kUnavailable);
     finishServerWork(ServerOutcome::kWithdrawn);
     return;
   }
+  if (confirmed_by_end_ && !body_ended_) {
+    askConfirmation();
+  } else {
+    dispatch();
+  }
+}
+
+void InboundRequest::askConfirmation() {
+  state_ = State::kConfirming;
+  exchange_->sendInterim(kProcessing);
+  const std::weak_ptr<InboundRequest> weak = weak_from_this();
+  confirm_timer_.after(kConfirmationTime, [weak] {
+    const auto self = weak.lock();
+    if (self != nullptr) {
+      self->onNotConfirmed();
+    }
+  });
+}
+
+// Its sender has fallen silent, or has sent it elsewhere: the slot goes to another request.
+void InboundRequest::onNotConfirmed() {
+  if (state_ == State::kConfirming) {
+    refuse(kOutcomeBusy, "not confirmed", kUnavailable);
+    finishServerWork(ServerOutcome::kWithdrawn);
+  }
+}
+
+void InboundRequest::onConfirmed() {
+  confirm_timer_.cancel();
+  if (refuseIfFenced()) {
+    finishServerWork(ServerOutcome::kWithdrawn);
+    return;
+  }
+  dispatch();
+}
+
+void InboundRequest::dispatch() {
+  const Duration left = deadline_ - EventLoop::now();
   state_ = State::kRunning;
   context_.calls.on_begun(admission_.id, route_, deadline_);
   HttpHead& head = exchange_->mutableRequest();
   head.set(context_.api.headers().deadline_ms, formatMilliseconds(left));
+  if (confirmed_by_end_) {
+    const bool has_length = confirmed_by_end_->framing == BodyFraming::kLength;
+    head.chunked = confirmed_by_end_->framing == BodyFraming::kChunked;
+    head.content_length =
+        has_length ? std::optional<std::uint64_t>(confirmed_by_end_->bytes) : std::nullopt;
+  }
   upstream_ =
       context_.server_pool.start(head, framingOf(head), body_, body_ended_, shared_from_this());
   body_.clear();
@@ -208,7 +261,12 @@
     return;
   }
   body_.append(data);
-  if (state_ == State::kReceiving && body_.size() >= kWholeBodyBytes) {
+  if (state_ != State::kReceiving) {
+    return;
+  }
+  if (confirmed_by_end_ && bodyArrived()) {
+    askAdmission();
+  } else if (body_.size() >= kWholeBodyBytes) {
     exchange_->pauseRequestBody();
     askAdmission();
   }
@@ -218,6 +276,8 @@
   body_ended_ = true;
   if (state_ == State::kReceiving && exchange_->hasBody()) {
     askAdmission();
+  } else if (state_ == State::kConfirming) {
+    onConfirmed();
   } else if (state_ == State::kRunning && upstream_ != nullptr) {
     upstream_->finishBody();
   }
@@ -234,6 +294,9 @@
   }
   const State before = state_;
   done();
+  if (before == State::kConfirming) {
+    finishServerWork(ServerOutcome::kWithdrawn);
+  }
   if (before == State::kRunning && upstream_ != nullptr) {
     const bool at_deadline = EventLoop::now() + kDeadlineMargin >= deadline_;
     upstream_->cancel();
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "daemon/proxy/peer_headers.h"
 #include "daemon/proxy/proxy_context.h"
 #include "net/stream/http_client.h"
 #include "net/stream/http_server.h"
@@ -35,10 +36,21 @@
   void onRequestDrained() override;
 
  private:
-  enum class State : std::uint8_t { kReceiving, kWaiting, kRunning, kDone };
+  enum class State : std::uint8_t {
+    kReceiving,
+    kWaiting,     ///< For room at the server.
+    kConfirming,  ///< There is room; the end of the request is awaited.
+    kRunning,
+    kDone,
+  };
 
   void start();
   void askAdmission();
+  void askConfirmation();
+  void onConfirmed();
+  void onNotConfirmed();
+  void dispatch();
+  [[nodiscard]] bool bodyArrived() const;
   bool refuseIfFenced();
   void refuse(std::string_view outcome, const std::string& reason, int status);
   void finishServerWork(ServerOutcome outcome);
@@ -60,6 +72,8 @@
   TimePoint begun_{0};
   std::string body_;  ///< What came before the server took it.
   bool body_ended_ = false;
+  std::optional<BodyForm> confirmed_by_end_;  ///< The request is confirmed by its end.
+  LoopTimer confirm_timer_;
   bool repeatable_ = false;
   bool under_way_ = false;   ///< Counted by the admission.
   bool discarding_ = false;  ///< The server's answer says "not run": only its end is awaited.
--- a/daemon/proxy/peer_headers.cc
+++ b/daemon/proxy/peer_headers.cc
@@ -11,6 +11,8 @@
 
 constexpr std::string_view kPrefix = "Ramppond-";
 constexpr double kLongestMs = 1e10;
+constexpr char kNoBody[] = "none";
+constexpr char kChunkedBody[] = " chunked";
 constexpr std::size_t kMostServices = 32;
 constexpr double kThousand = 1000;
 constexpr std::uint64_t kMostPermille = 1000000;
@@ -92,6 +94,34 @@
   return load;
 }
 
+std::string formatBodyForm(const BodyForm& form) {
+  switch (form.framing) {
+    case BodyFraming::kNone:
+      return kNoBody;
+    case BodyFraming::kLength:
+      return std::to_string(form.bytes);
+    case BodyFraming::kChunked:
+      return std::to_string(form.bytes) + kChunkedBody;
+  }
+  return kNoBody;
+}
+
+std::optional<BodyForm> parseBodyForm(const std::string& text) {
+  if (text == kNoBody) {
+    return BodyForm{};
+  }
+  char* end = nullptr;
+  const std::uint64_t bytes = std::strtoull(text.c_str(), &end, 10);
+  if (end == text.c_str()) {
+    return std::nullopt;
+  }
+  if (*end == '\0') {
+    return BodyForm{bytes, BodyFraming::kLength};
+  }
+  return end == std::string(kChunkedBody) ? std::optional<BodyForm>({bytes, BodyFraming::kChunked})
+                                          : std::nullopt;
+}
+
 std::optional<Duration> parseMilliseconds(const std::string* text) {
   if (text == nullptr || text->empty()) {
     return std::nullopt;
--- a/daemon/proxy/peer_headers.h
+++ b/daemon/proxy/peer_headers.h
@@ -18,6 +18,10 @@
 constexpr std::string_view kPeerPriority = "Ramppond-Priority";
 /// Requests: how long the request may wait before its server, in milliseconds.
 constexpr std::string_view kPeerPatienceMs = "Ramppond-Patience-Ms";
+/// Requests that may not be repeated: the end of the request follows only when the daemon beside
+/// the server has room and says so by an interim answer (102). Until then it has provably not run.
+/// Value: how the body is framed towards the server; see BodyForm.
+constexpr std::string_view kPeerConfirm = "Ramppond-Confirm";
 /// Requests: present if the request may be repeated.
 constexpr std::string_view kPeerRepeatable = "Ramppond-Repeatable";
 /// Requests: asks the daemon itself, not its server, for an answer.
@@ -44,6 +48,16 @@
 /// It may have run, and no answer can be had.
 constexpr std::string_view kOutcomeUnknown = "unknown";
 
+/// The body of a request whose end is held back: "BYTES" if its length is told to the server,
+/// "BYTES chunked" if not, "none" if there is no body.
+struct BodyForm {
+  std::uint64_t bytes = 0;
+  BodyFraming framing = BodyFraming::kNone;
+};
+std::string formatBodyForm(const BodyForm& form);
+/// Nothing if the text is not of the form.
+std::optional<BodyForm> parseBodyForm(const std::string& text);
+
 /// Removes every field whose name begins with "Ramppond-".
 void removePeerHeaders(HttpHead& head);
 std::string formatLoad(const ServerLoad& load);
--- a/tests/daemon/proxy/peer_headers_test.cc
+++ b/tests/daemon/proxy/peer_headers_test.cc
@@ -26,6 +26,17 @@
   EXPECT_EQ(formatOverload(parseOverload(&text)), text);
 }
 
+TEST(peer_headers, forms_of_bodies_come_back_as_they_were_told) {
+  for (const std::string text : {"none", "0", "17", "17 chunked", "0 chunked"}) {
+    const auto form = parseBodyForm(text);
+    ASSERT_TRUE(form) << text;
+    EXPECT_EQ(formatBodyForm(*form), text);
+  }
+  for (const std::string text : {"", "x", "17 other", "17x"}) {
+    EXPECT_FALSE(parseBodyForm(text)) << text;
+  }
+}
+
 TEST(peer_headers, names_that_would_break_the_form_are_left_out) {
   EXPECT_EQ(formatOverload({{"a,b", {1}}, {"a=b", {1}}, {"a\r\nb", {1}}, {"ab", {1}}}), "ab=1000");
 }
--- a/tests/platform/forwarding_day_test.cc
+++ b/tests/platform/forwarding_day_test.cc
@@ -337,6 +337,32 @@
   }
 }
 
+// What may not be repeated is complete at a daemon only once there is room for it: a daemon that
+// stands still cannot have run it.
+TEST_F(ForwardingDay, WhatMayNotBeRepeatedIsNotLostWithAFrozenDaemon) {
+  constexpr int kClients = 0;
+  constexpr std::size_t kFrozen = 1;
+  constexpr std::size_t kRequests = 8;
+  day_.proxies[kFrozen]->signal(SIGSTOP);
+  std::map<std::string, Answer> answers;
+  for (std::size_t number = 0; number < kRequests; ++number) {
+    const std::string id = "once-" + std::to_string(number);
+    Request wanted = request("/two/f", id);
+    wanted.method = "POST";
+    wanted.body = number % 2 == 0 ? "" : "body of " + id;
+    day_.sendLater(kClients, wanted,
+                   [&answers, id](const Answer& answer) { answers[id] = answer; });
+  }
+  EXPECT_TRUE(day_.runUntil([&] { return answers.size() == kRequests; }));
+  day_.proxies[kFrozen]->signal(SIGCONT);
+  EXPECT_EQ(day_.send(static_cast<int>(kFrozen), request("/one/a", "awake")).status, 200);
+  day_.runFor(milliseconds(500));
+  for (const auto& [id, answer] : answers) {
+    EXPECT_EQ(answer.status, 200) << id;
+    EXPECT_EQ(runsOf(id), 1) << id;
+  }
+}
+
 TEST_F(ForwardingDay, ALeavingServerGetsNothingNew) {
   day_.servers[0]->beat("draining");
   day_.runFor(milliseconds(1500));
