Kept connections to a daemon that has started anew or fallen silent are closed

Change: the record of a new process of a daemon, and its silence, close the kept connections to it. Test: InstanceDirectoryTest.ADaemonThatHasStartedAnewIsTold (of the new interface).

--- a/core/instance_directory.cc
+++ b/core/instance_directory.cc
@@ -38,11 +38,13 @@
 InstanceDirectory::InstanceDirectory(InstanceDirectoryOptions options)
     : options_(std::move(options)), random_(options_.random_seed) {}
 
-void InstanceDirectory::offer(const InstanceRecord& record) {
+bool InstanceDirectory::offer(const InstanceRecord& record) {
   KnownInstance& known = by_daemon_[record.daemon_address];
-  if (!known.record.daemon_address.empty() && !record.isNewerThan(known.record)) {
-    return;
+  const bool first = known.record.daemon_address.empty();
+  if (!first && !record.isNewerThan(known.record)) {
+    return false;
   }
+  const bool started_anew = !first && known.record.incarnation != record.incarnation;
   if (known.record.service != record.service) {
     auto& former = by_service_[known.record.service];
     former.erase(std::remove(former.begin(), former.end(), &known), former.end());
@@ -53,13 +55,14 @@
     known.service_times.clear();
     known.refused_until = TimePoint(0);
   }
-  if (known.record.incarnation != record.incarnation) {
+  if (started_anew) {
     known.liveness = peer_liveness();
   }
   known.fenced_until = TimePoint(0);
   known.failures = 0;
   known.unreachable_until = TimePoint(0);
   known.record = record;
+  return started_anew;
 }
 
 bool InstanceDirectory::usable(const KnownInstance& instance, const std::string& service,
--- a/core/instance_directory.h
+++ b/core/instance_directory.h
@@ -59,7 +59,9 @@
  public:
   explicit InstanceDirectory(InstanceDirectoryOptions options);
 
-  void offer(const InstanceRecord& record);
+  /// Takes over a record that is newer than the one held. Returns whether its daemon has started
+  /// anew since: connections to the former process are of no use.
+  bool offer(const InstanceRecord& record);
   /// A ready server of `service` for a request of `route` whose daemon is not in `excluded`, or
   /// nullptr.
   KnownInstance* choose(const std::string& service, const std::string& route,
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -80,6 +80,13 @@
   return *pool;
 }
 
+void ProxyContext::closeIdleTo(const std::string& daemon_address) {
+  const auto pool = peers.find(daemon_address);
+  if (pool != peers.end()) {
+    pool->second->closeIdle();
+  }
+}
+
 retry_budget& ProxyContext::budget(const std::string& service) {
   const auto found = budgets.find(service);
   if (found != budgets.end()) {
@@ -164,6 +171,7 @@
   }
   for (KnownInstance* instance : changes.silent) {
     counters.silent_peers += 1;
+    closeIdleTo(instance->record.daemon_address);
     logEvent(
         now.count(), "peer_silent",
         {{"peer", instance->record.daemon_address}, {"waiting", std::to_string(instance->sent)}});
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -67,6 +67,8 @@
 
   /// The pool to a peer; made when first needed.
   HttpClientPool& peer(const std::string& daemon_address);
+  /// Kept connections to a process that is gone would swallow the next requests.
+  void closeIdleTo(const std::string& daemon_address);
   retry_budget& budget(const std::string& service);
   /// Begins waiting requests for which there is room now, and refuses those that waited too long.
   void pumpAdmission();
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -212,7 +212,9 @@
 
 void ProxyProcess::takeNews() {
   for (const InstanceRecord& record : session_.takeInstances()) {
-    context_.directory.offer(record);
+    if (context_.directory.offer(record)) {
+      context_.closeIdleTo(record.daemon_address);
+    }
   }
   if (!session_.takeTrafficChanged()) {
     return;
--- a/tests/core/instance_directory_test.cc
+++ b/tests/core/instance_directory_test.cc
@@ -57,6 +57,17 @@
   EXPECT_EQ(choose(), "near");
 }
 
+TEST_F(InstanceDirectoryTest, ADaemonThatHasStartedAnewIsTold) {
+  InstanceRecord first = record("near", "zone-a");
+  EXPECT_FALSE(directory_.offer(first));
+  first.revision = 2;
+  EXPECT_FALSE(directory_.offer(first));
+  InstanceRecord again = first;
+  again.incarnation = 2;
+  EXPECT_TRUE(directory_.offer(again));
+  EXPECT_FALSE(directory_.offer(first));
+}
+
 // Requests of one route may take many times as long as those of another: whoever happens to have
 // many of them is not slow.
 TEST_F(InstanceDirectoryTest, ServersAreComparedByTheirTimesForTheSameRoute) {
