--- a/core/control_core.h
+++ b/core/control_core.h
@@ -34,6 +34,9 @@
   std::uint64_t registry_epoch = 1;  ///< Drawn at random for each start of the process.
 };
 
+/// A poll is held for this long at the most, whatever it asks for.
+constexpr Duration kLongestPollHold = seconds(10);
+
 /// Names one request that the driver waits to answer.
 using ControlToken = std::uint64_t;
 
--- /dev/null
+++ b/core/control_proxy_polls.cc
@@ -0,0 +1,101 @@
+// Held polls of the daemons of the forwarding path: routes, records of servers, members.
+#include <algorithm>
+
+#include "core/cbor_codec.h"
+#include "core/control_core.h"
+
+namespace ramppond {
+void ControlCore::onProxyPoll(ControlToken token, const ControlRequest& request, TimePoint now) {
+  const auto poll = decode<ProxyPoll>(request.proxy_poll);
+  if (!poll) {
+    answerError(token, ErrorKind::kMalformedRequest, "not a poll");
+    return;
+  }
+  counters_.polls += 1;
+  if (poll->has_self) {
+    instances_.offer(poll->self);
+  }
+  HeldProxyPoll held;
+  held.poll = *poll;
+  held.received = now;
+  held.due = now + std::min(poll->hold, kLongestPollHold);
+  if (mayAnswer(held, now)) {
+    answerProxyPoll(token, *poll, now);
+    return;
+  }
+  proxy_polls_.emplace(token, std::move(held));
+}
+
+// A daemon that has a configuration is told at once that this member hears no leader, and asks
+// another. One that has none yet waits here: after a start of everything, all members are electing.
+bool ControlCore::mayAnswer(const HeldProxyPoll& held, TimePoint now) const {
+  if (now >= held.due) {
+    return true;
+  }
+  return authoritative(now) ? hasProxyNews(held, now) : held.poll.traffic_index != 0;
+}
+
+bool ControlCore::hasProxyNews(const HeldProxyPoll& held, TimePoint now) const {
+  const ProxyPoll& poll = held.poll;
+  if (poll.traffic_index < state_.traffic().logIndex() ||
+      poll.registry_epoch != options_.registry_epoch) {
+    return true;
+  }
+  // The daemon's own record is known here in a newer form: it restarted with an older number.
+  const InstanceRecord* own = poll.has_self ? instances_.find(poll.self.daemon_address) : nullptr;
+  if (own != nullptr && own->isNewerThan(poll.self)) {
+    return true;
+  }
+  return poll.registry_counter < instances_.counter() &&
+         now - held.received >= options_.instance_news_spacing;
+}
+
+const std::string& ControlCore::encodedTraffic() {
+  if (encoded_traffic_index_ != state_.traffic().logIndex()) {
+    encoded_traffic_index_ = state_.traffic().logIndex();
+    encoded_traffic_ = encode(state_.traffic().configuration());
+  }
+  return encoded_traffic_;
+}
+
+ProxyNews ControlCore::proxyNews(const ProxyPoll& poll) {
+  ProxyNews news;
+  if (poll.traffic_index < state_.traffic().logIndex()) {
+    news.traffic_index = state_.traffic().logIndex();
+    news.traffic = encodedTraffic();
+  }
+  const bool knows_this_member = poll.registry_epoch == options_.registry_epoch;
+  news.registry_epoch = options_.registry_epoch;
+  news.registry_counter = instances_.counter();
+  news.instances = instances_.changesSince(knows_this_member ? poll.registry_counter : 0);
+  for (const Member& member : raft_.membership().members) {
+    news.member_addresses.push_back(member.address);
+  }
+  return news;
+}
+
+void ControlCore::answerProxyPoll(ControlToken token, const ProxyPoll& poll, TimePoint now) {
+  ProxyNews news = proxyNews(poll);
+  const InstanceRecord* own = poll.has_self ? instances_.find(poll.self.daemon_address) : nullptr;
+  if (own != nullptr && own->isNewerThan(poll.self)) {
+    news.instances.push_back(*own);
+  }
+  counters_.configuration_pushes += news.traffic.empty() ? 0 : 1;
+  ControlReply reply;
+  reply.authoritative = authoritative(now);
+  reply.proxy_news = encode(news);
+  answer(token, std::move(reply));
+}
+
+void ControlCore::answerHeldProxyPolls(TimePoint now) {
+  for (auto held = proxy_polls_.begin(); held != proxy_polls_.end();) {
+    if (!mayAnswer(held->second, now)) {
+      ++held;
+      continue;
+    }
+    answerProxyPoll(held->first, held->second.poll, now);
+    held = proxy_polls_.erase(held);
+  }
+}
+
+}  // namespace ramppond
--- a/core/control_session.h
+++ b/core/control_session.h
@@ -1,8 +1,8 @@
 // A daemon's session with the control group: configuration, servers, claims.
 //
 // The daemon polls one control member; the member holds the answer until there is news. Claims go
-// to the leader in batches, several of which may be under way. The same class runs in the daemon,
-// the simulator and the hollow daemons of the scale run.
+// to the leader in batches, several of which may be under way. The same class runs in the daemon
+// and the simulator.
 #pragma once
 
 #include <deque>
