--- a/core/control_members.cc
+++ b/core/control_members.cc
@@ -1,8 +1,8 @@
 // Changes of the members of the control group.
 #include <algorithm>
 
-#include "core/control_core.h"
 #include "core/cbor_codec.h"
+#include "core/control_core.h"
 #include "core/member_replacement.h"
 
 namespace ramppond {
--- a/core/overload_controller.cc
+++ b/core/overload_controller.cc
@@ -25,21 +25,21 @@
   return static_cast<double>(part.count()) / static_cast<double>(whole.count());
 }
 
-auto pressure_of(Duration wait, Duration patience) -> double {
+auto pressure_of(Duration wait, Duration pressing_wait) -> double {
   if (wait <= Duration(0)) return 0;
-  if (patience <= Duration(0)) return 1;
-  return std::min(1.0, ratio(wait, patience));
+  if (pressing_wait <= Duration(0)) return 1;
+  return std::min(1.0, ratio(wait, pressing_wait));
 }
 
 }  // namespace
 
-void overload_controller::on_offer(Duration wait, Duration patience, TimePoint now) {
+void overload_controller::on_offer(Duration wait, Duration pressing_wait, TimePoint now) {
   if (this->last == TimePoint(0)) this->last = now;
   const auto step = std::min<Duration>(now - this->last, longest_step);
   this->raised = this->level(now).value;
   this->last = now;
   const double weight = 1 - std::exp(-ratio(step, smoothing));
-  this->pressure += weight * (pressure_of(wait, patience) - this->pressure);
+  this->pressure += weight * (pressure_of(wait, pressing_wait) - this->pressure);
   const double excess = (this->pressure - target_pressure) / (1 - target_pressure);
   if (excess <= 0) return;
   this->raised += rise_per_second * excess * ratio(step, seconds(1));
--- a/core/server_admission.cc
+++ b/core/server_admission.cc
@@ -33,7 +33,7 @@
 
 AdmissionVerdict ServerAdmission::offer(const AdmissionRequest& request, TimePoint now) {
   if (under_way_ < limit_ && waiting_.empty()) {
-    overload_.on_offer(Duration(0), request.patience, now);
+    overload_.on_offer(Duration(0), request.pressing_wait, now);
     under_way_ += 1;
     begun_sum_ += now;
     counters_.dispatched += 1;
@@ -41,7 +41,7 @@
   }
   const auto ahead = static_cast<std::int64_t>(waitingBefore(request.priority) + 1);
   const Duration wait = service_time_ * ahead / static_cast<std::int64_t>(limit_);
-  overload_.on_offer(wait, request.patience, now);
+  overload_.on_offer(wait, request.pressing_wait, now);
   if (waiting_.size() >= kMaximumWaiting || wait > request.patience) {
     counters_.refused_full += 1;
     return AdmissionVerdict::kRefuse;
--- a/core/server_admission.h
+++ b/core/server_admission.h
@@ -42,6 +42,7 @@
   AdmissionId id = 0;
   std::uint32_t priority = 0;  ///< 0 is the most urgent.
   Duration patience{0};        ///< The longest that it may wait.
+  Duration pressing_wait{0};   ///< A wait that means full pressure; see core/patience.h.
 };
 
 struct AdmissionCounters {
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/patience.h"
 #include "daemon/proxy/peer_headers.h"
 
 namespace ramppond {
@@ -19,8 +20,6 @@
 constexpr int kGatewayTimeout = 504;
 // Attempts, whether a server received them or not.
 constexpr std::size_t kMaximumTried = 6;
-// A request may wait for its server for this share of its goal: a refusal is cheap only early.
-constexpr std::int64_t kPatienceDivisor = 5;
 // A request for a service of which no server is known waits for this share of its goal.
 constexpr std::int64_t kServerWaitDivisor = 4;
 constexpr Duration kServerWaitInterval = milliseconds(20);
@@ -78,7 +77,8 @@
 // Refusing a call would waste what its tree has cost: only requests of clients are refused here.
 bool ForwardedRequest::shed(Duration wanted) {
   const auto origin = context_.calls.on_request(route_->name, received_ + wanted);
-  if (origin != request_origin::client) {
+  is_call_ = origin != request_origin::client;
+  if (is_call_) {
     return false;
   }
   const std::uint32_t less_urgent = traffic_->lessUrgentThan(route_->priority);
@@ -141,13 +141,16 @@
   context_.counters.attempts += 1;
   own_answer_ = false;
   HttpHead head = exchange_->request();
-  const Duration patience = route_->goal / kPatienceDivisor - (now - received_);
+  const Duration patience = patience_of(route_->goal, is_call_) - (now - received_);
   head.set(context_.api.headers().deadline_ms, formatMilliseconds(timeLeft()));
   head.fields.push_back({std::string(kPeerInstance), instance_->record.instance_id});
   head.fields.push_back({std::string(kPeerService), service_});
   head.fields.push_back({std::string(kPeerRoute), route_->name});
   head.fields.push_back({std::string(kPeerPriority), std::to_string(route_->priority)});
   head.fields.push_back({std::string(kPeerPatienceMs), formatMilliseconds(patience)});
+  if (is_call_) {
+    head.fields.push_back({std::string(kPeerCall), "1"});
+  }
   if (isRepeatable(route_->kind)) {
     head.fields.push_back({std::string(kPeerRepeatable), "1"});
   }
@@ -171,7 +174,7 @@
   head.content_length.reset();
   head.chunked = true;
   upstream_ = peer.start(head, BodyFraming::kChunked, body_, false, shared_from_this());
-  const Duration patience = route_->goal / kPatienceDivisor;
+  const Duration patience = patience_of(route_->goal, is_call_);
   confirm_timer_.after(patience + kAdmissionMargin, [this] { onNotAdmitted(); });
 }
 
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -1,5 +1,6 @@
 #include "daemon/proxy/inbound_request.h"
 
+#include "core/patience.h"
 #include "daemon/proxy/peer_headers.h"
 
 namespace ramppond {
@@ -74,6 +75,7 @@
   admission_.id = context_.next_admission_id++;
   admission_.priority = static_cast<std::uint32_t>(std::strtoul(priority.c_str(), nullptr, 10));
   admission_.patience = parseMilliseconds(head.find(kPeerPatienceMs)).value_or(Duration(0));
+  admission_.pressing_wait = pressing_wait(admission_.patience, head.find(kPeerCall) != nullptr);
   head.removeHopByHop();
   repeatable_ = head.find(kPeerRepeatable) != nullptr;
   confirmed_by_end_ = parseBodyForm(head.get(kPeerConfirm));
--- a/daemon/proxy/peer_headers.h
+++ b/daemon/proxy/peer_headers.h
@@ -22,6 +22,8 @@
 /// the server has room and says so by an interim answer (102). Until then it has provably not run.
 /// Value: how the body is framed towards the server; see BodyForm.
 constexpr std::string_view kPeerConfirm = "Ramppond-Confirm";
+/// Requests: present if it is a call of a server, or may be one.
+constexpr std::string_view kPeerCall = "Ramppond-Call";
 /// Requests: present if the request may be repeated.
 constexpr std::string_view kPeerRepeatable = "Ramppond-Repeatable";
 /// Requests: asks the daemon itself, not its server, for an answer.
--- a/tests/core/tree_shedding_test.cc
+++ b/tests/core/tree_shedding_test.cc
@@ -8,6 +8,7 @@
 #include <queue>
 
 #include "core/overload_below.h"
+#include "core/patience.h"
 #include "core/random.h"
 #include "core/server_admission.h"
 
@@ -16,7 +17,7 @@
 
 constexpr std::uint32_t slots = 40;
 constexpr auto call_time = milliseconds(50);
-constexpr auto patience = milliseconds(60);
+constexpr auto goal = milliseconds(300);
 constexpr auto length = seconds(20);
 constexpr std::uint32_t rank_of_calls = 1;
 
@@ -97,7 +98,9 @@
 
   void call(std::size_t kind, int left) {
     const auto id = this->next_call++;
-    const auto verdict = this->admission.offer({id, rank_of_calls, patience}, this->now);
+    const auto verdict = this->admission.offer(
+        {id, rank_of_calls, patience_of(goal, true), pressing_wait(patience_of(goal, true), true)},
+        this->now);
     if (verdict == AdmissionVerdict::kRefuse) {
       this->on_answer(kind);
       ++this->counts[kind].failed;
