--- a/control/coordinator/coordinator_process.cc
+++ b/control/coordinator/coordinator_process.cc
@@ -6,16 +6,11 @@
 #include "core/cbor_codec.h"
 #include "core/first_members.h"
 #include "core/raft_messages.h"
+#include "net/stream/http_status.h"
 
 namespace ramppond {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kTemporaryRedirect = 307;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kPreconditionFailed = 412;
-constexpr int kUnavailable = 503;
 constexpr Duration kTickInterval = milliseconds(20);
 constexpr Duration kJoinInterval = milliseconds(200);
 constexpr Duration kJoinTimeout = milliseconds(600);
--- /dev/null
+++ b/daemon/proxy/forwarded_attempt.cc
@@ -0,0 +1,189 @@
+// The attempts of a forwarded request: choice of a server, sending, repeating.
+#include "core/patience.h"
+#include "daemon/proxy/forwarded_request.h"
+#include "daemon/proxy/peer_headers.h"
+#include "net/stream/http_status.h"
+
+namespace ramppond {
+namespace {
+
+// Attempts, whether a server received them or not.
+constexpr std::size_t kMaximumTried = 6;
+// A request for a service of which no server is known waits for this share of its goal.
+constexpr std::int64_t kServerWaitDivisor = 4;
+constexpr Duration kServerWaitInterval = milliseconds(20);
+// A peer answers within the time that a request may wait there and a round trip.
+constexpr Duration kAdmissionMargin = milliseconds(250);
+constexpr Duration kLeastTimeForAttempt = milliseconds(10);
+
+}  // namespace
+
+// Right after a restart no server may be known yet: whoever waits for one shortly is served within
+// its goal, while the parent of a refused call has run for nothing.
+bool ForwardedRequest::mayWaitForServer(TimePoint now) const {
+  return tried_.empty() && now - received_ < route_->goal / kServerWaitDivisor &&
+         timeLeft() > kLeastTimeForAttempt;
+}
+
+void ForwardedRequest::attempt() {
+  const TimePoint now = EventLoop::now();
+  instance_ = context_.directory.choose(service_, route_->name, tried_, now);
+  if (instance_ == nullptr && mayWaitForServer(now)) {
+    wait_timer_.after(kServerWaitInterval, [this] { attempt(); });
+    return;
+  }
+  if (instance_ == nullptr || tried_.size() >= kMaximumTried || timeLeft() < kLeastTimeForAttempt) {
+    instance_ = nullptr;
+    if (run_possible_) {
+      answerOwn(kBadGateway, "no server left", false);
+    } else {
+      answerOwn(kUnavailable, "no server", true);
+    }
+    return;
+  }
+  tried_.insert(instance_->record.daemon_address);
+  context_.counters.attempts += 1;
+  own_answer_ = false;
+  HttpHead head = exchange_->request();
+  const Duration patience = patience_of(route_->goal, is_call_) - (now - received_);
+  head.set(context_.api.headers().deadline_ms, formatMilliseconds(timeLeft()));
+  head.fields.push_back({std::string(kPeerInstance), instance_->record.instance_id});
+  head.fields.push_back({std::string(kPeerService), service_});
+  head.fields.push_back({std::string(kPeerRoute), route_->name});
+  head.fields.push_back({std::string(kPeerPriority), std::to_string(route_->priority)});
+  head.fields.push_back({std::string(kPeerPatienceMs), formatMilliseconds(patience)});
+  if (is_call_) {
+    head.fields.push_back({std::string(kPeerCall), "1"});
+  }
+  if (isRepeatable(route_->kind)) {
+    head.fields.push_back({std::string(kPeerRepeatable), "1"});
+  }
+  context_.directory.onSent(*instance_, now);
+  context_.under_way.insert(this);
+  send(std::move(head));
+}
+
+// What may not be repeated is not complete at the peer before there is room for it there: whatever
+// happens until then, it has not run and may go elsewhere.
+void ForwardedRequest::send(HttpHead head) {
+  HttpClientPool& peer = context_.peer(instance_->record.daemon_address);
+  confirms_ = !isRepeatable(route_->kind) && body_ended_;
+  confirmed_ = false;
+  if (!confirms_) {
+    upstream_ = peer.start(head, framingOf(head), body_, body_ended_, shared_from_this());
+    return;
+  }
+  head.fields.push_back(
+      {std::string(kPeerConfirm), formatBodyForm({body_.size(), framingOf(head)})});
+  head.content_length.reset();
+  head.chunked = true;
+  upstream_ = peer.start(head, BodyFraming::kChunked, body_, false, shared_from_this());
+  const Duration patience = patience_of(route_->goal, is_call_);
+  confirm_timer_.after(patience + kAdmissionMargin, [this] { onNotAdmitted(); });
+}
+
+void ForwardedRequest::onInterim(int /*status*/) {
+  if (over_ || !heldBack() || upstream_ == nullptr) {
+    return;
+  }
+  confirmed_ = true;
+  confirm_timer_.cancel();
+  upstream_->finishBody();
+}
+
+// The peer neither has room nor refuses: it is gone or stands still.
+void ForwardedRequest::onNotAdmitted() {
+  if (over_ || !heldBack() || upstream_ == nullptr) {
+    return;
+  }
+  const auto self = shared_from_this();
+  context_.directory.onUnreachable(*instance_, EventLoop::now());
+  upstream_->cancel();
+  afterAttempt(AttemptEnd::kNotSent, "not admitted");
+}
+
+void ForwardedRequest::endAttempt() {
+  context_.under_way.erase(this);
+  confirm_timer_.cancel();
+  confirms_ = false;
+  if (instance_ != nullptr) {
+    context_.directory.onEnded(*instance_);
+    instance_ = nullptr;
+  }
+  upstream_.reset();
+  answer_held_ = false;
+  answer_body_.clear();
+}
+
+bool ForwardedRequest::mayRepeat(AttemptEnd end, std::uint32_t arrivals) {
+  if (body_streamed_ || tried_.size() >= kMaximumTried || timeLeft() < kLeastTimeForAttempt) {
+    return false;
+  }
+  if (end == AttemptEnd::kNotSent) {
+    return true;
+  }
+  if (end == AttemptEnd::kUnknown && !isRepeatable(route_->kind)) {
+    return false;
+  }
+  if (arrivals >= route_->max_attempts) {
+    return false;
+  }
+  if (!context_.budget(service_).take(EventLoop::now())) {
+    context_.counters.repeats_unpaid += 1;
+    return false;
+  }
+  context_.counters.repeats += 1;
+  return true;
+}
+
+void ForwardedRequest::noteAttempt(AttemptEnd end) {
+  endAttempt();
+  arrivals_ += end == AttemptEnd::kNotSent ? 0 : 1;
+  run_possible_ = run_possible_ || end == AttemptEnd::kUnknown;
+}
+
+void ForwardedRequest::repeat(const std::string& reason) {
+  const TimePoint now = EventLoop::now();
+  if (context_.repeats.allow(now.count())) {
+    logEvent(now.count(), context_.repeats.event(),
+             {{"request", exchange_->request().get(context_.api.headers().request_id)},
+              {"service", service_},
+              {"after", reason}});
+  }
+  attempt();
+}
+
+void ForwardedRequest::onPeerSilent(const KnownInstance& instance) {
+  const bool waits_there = !over_ && instance_ == &instance && upstream_ != nullptr;
+  if (!waits_there || answer_held_ || exchange_->headSent()) {
+    return;
+  }
+  if (heldBack()) {
+    onNotAdmitted();
+    return;
+  }
+  if (!isRepeatable(route_->kind)) {
+    return;
+  }
+  if (!mayRepeat(AttemptEnd::kUnknown, arrivals_ + 1)) {
+    return;
+  }
+  upstream_->cancel();
+  noteAttempt(AttemptEnd::kUnknown);
+  repeat("peer silent");
+}
+
+void ForwardedRequest::afterAttempt(AttemptEnd end, const std::string& reason) {
+  noteAttempt(end);
+  if (mayRepeat(end, arrivals_)) {
+    repeat(reason);
+    return;
+  }
+  if (run_possible_) {
+    answerOwn(kBadGateway, reason, false);
+  } else {
+    answerOwn(kUnavailable, reason, true);
+  }
+}
+
+}  // namespace ramppond
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -2,28 +2,23 @@
 
 #include "core/patience.h"
 #include "daemon/proxy/peer_headers.h"
+#include "net/stream/http_status.h"
 
 namespace ramppond {
 namespace {
 
 // Bodies up to this size are complete before the request is begun; longer ones are streamed.
 constexpr std::size_t kWholeBodyBytes = 65536;
-constexpr int kUnavailable = 503;
-constexpr int kBadGateway = 502;
-constexpr int kMisdirected = 421;
 constexpr Duration kDefaultTimeLeft = seconds(60);
 // The server gives an answer at its deadline only if something is left to work with.
 // The daemon that sent a request gives it up at its deadline, a moment before ours.
 constexpr Duration kDeadlineMargin = milliseconds(20);
 constexpr Duration kLeastTimeLeft = milliseconds(2);
-constexpr int kProcessing = 102;
 // Between daemons a confirmation takes a round trip. A slot is not held longer for a sender that
 // may be gone.
 constexpr Duration kConfirmationTime = milliseconds(300);
 
 ServerOutcome outcomeOf(int status) {
-  constexpr int kServerError = 500;
-  constexpr int kGatewayTimeout = 504;
   if (status == kGatewayTimeout) {
     return ServerOutcome::kDeadline;
   }
@@ -46,8 +41,6 @@
 }
 
 bool bodiless(int status) {
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
   return status == kNoContent || status == kNotModified;
 }
 
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -7,14 +7,11 @@
 #include "daemon/proxy/inbound_request.h"
 #include "daemon/proxy/peer_headers.h"
 #include "daemon/proxy/peer_ping.h"
+#include "net/stream/http_status.h"
 
 namespace ramppond {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
 // Clients stop sending after they were told twice, a second apart, that this daemon is not ready.
 constexpr Duration kLeastStopTime = milliseconds(2100);
 // Until then peers that know no other server may still send requests; what was begun must end
