--- a/core/call_attribution.cc
+++ b/core/call_attribution.cc
@@ -31,15 +31,23 @@
   bool several_exact = false;
   bool several_possible = false;
   for (const auto& [id, run] : this->runs) {
-    if (run.deadline + later_deadline < deadline) continue;
+    if (run.deadline + later_deadline < deadline) {
+      continue;
+    }
     several_possible = several_possible || (possible != nullptr && *possible != run.route);
     possible = &run.route;
-    if (run.deadline > deadline + equal_deadlines) continue;
-    if (run.deadline < deadline - equal_deadlines) continue;
+    if (run.deadline > deadline + equal_deadlines) {
+      continue;
+    }
+    if (run.deadline < deadline - equal_deadlines) {
+      continue;
+    }
     several_exact = several_exact || (exact != nullptr && *exact != run.route);
     exact = &run.route;
   }
-  if (exact != nullptr) return several_exact ? nullptr : exact;
+  if (exact != nullptr) {
+    return several_exact ? nullptr : exact;
+  }
   return several_possible ? nullptr : possible;
 }
 
@@ -54,7 +62,9 @@
   const double sample = outlives_all ? 1 : 0;
   callee.client_share += (sample - callee.client_share) * (callee.seen ? smoothing : 1);
   callee.seen = true;
-  if (outlives_all || callee.client_share > mostly) return request_origin::client;
+  if (outlives_all || callee.client_share > mostly) {
+    return request_origin::client;
+  }
   if (const auto* caller = this->only_caller(deadline)) {
     ++callee.callers[*caller];
     ++callee.attributed;
@@ -66,10 +76,14 @@
   auto calls = std::vector<std::string>();
   for (const auto& [name, callee] : this->callees) {
     const auto found = callee.callers.find(route);
-    if (found == callee.callers.end() || callee.client_share > mostly) continue;
+    if (found == callee.callers.end() || callee.client_share > mostly) {
+      continue;
+    }
     const bool enough = found->second >= least_calls &&
                         found->second >= least_share * static_cast<double>(callee.attributed);
-    if (enough) calls.push_back(name);
+    if (enough) {
+      calls.push_back(name);
+    }
   }
   return calls;
 }
--- a/core/overload_below.cc
+++ b/core/overload_below.cc
@@ -23,7 +23,9 @@
 
 auto told_level(const std::vector<service_overload>& told, const std::string& service) -> double {
   for (const auto& entry : told) {
-    if (entry.service == service) return entry.level.value;
+    if (entry.service == service) {
+      return entry.level.value;
+    }
   }
   return 0;
 }
@@ -37,7 +39,9 @@
   }
   auto& services = this->routes[route];
   for (const auto& entry : told) {
-    if (services.size() < most_services) services.emplace(entry.service, smoothed{0, now});
+    if (services.size() < most_services) {
+      services.emplace(entry.service, smoothed{0, now});
+    }
   }
   for (auto& [service, known] : services) {
     const double weight = 1 - decay(now - known.told, smoothing);
@@ -50,10 +54,14 @@
     -> std::vector<service_overload> {
   auto levels = std::vector<service_overload>();
   const auto found = this->routes.find(route);
-  if (found == this->routes.end()) return levels;
+  if (found == this->routes.end()) {
+    return levels;
+  }
   for (const auto& [service, known] : found->second) {
     const double value = known.value * decay(now - known.told, remembered);
-    if (value >= least_level) levels.push_back({service, {value}});
+    if (value >= least_level) {
+      levels.push_back({service, {value}});
+    }
   }
   return levels;
 }
--- a/core/overload_controller.cc
+++ b/core/overload_controller.cc
@@ -26,22 +26,30 @@
 }
 
 auto pressure_of(Duration wait, Duration pressing_wait) -> double {
-  if (wait <= Duration(0)) return 0;
-  if (pressing_wait <= Duration(0)) return 1;
+  if (wait <= Duration(0)) {
+    return 0;
+  }
+  if (pressing_wait <= Duration(0)) {
+    return 1;
+  }
   return std::min(1.0, ratio(wait, pressing_wait));
 }
 
 }  // namespace
 
 void overload_controller::on_offer(Duration wait, Duration pressing_wait, TimePoint now) {
-  if (this->last == TimePoint(0)) this->last = now;
+  if (this->last == TimePoint(0)) {
+    this->last = now;
+  }
   const auto step = std::min<Duration>(now - this->last, longest_step);
   this->raised = this->level(now).value;
   this->last = now;
   const double weight = 1 - std::exp(-ratio(step, smoothing));
   this->pressure += weight * (pressure_of(wait, pressing_wait) - this->pressure);
   const double excess = (this->pressure - target_pressure) / (1 - target_pressure);
-  if (excess <= 0) return;
+  if (excess <= 0) {
+    return;
+  }
   this->raised += rise_per_second * excess * ratio(step, seconds(1));
   this->raised = std::min(this->raised, most_ranks);
 }
@@ -54,7 +62,9 @@
 
 auto overload_controller::level(TimePoint now) const -> shed_level {
   const auto quiet = now - this->last;
-  if (quiet <= longest_step) return {this->fallen(quiet)};
+  if (quiet <= longest_step) {
+    return {this->fallen(quiet)};
+  }
   // Nobody asks any more, so nobody waits.
   return {this->fallen(longest_step) * std::exp(-ratio(quiet - longest_step, fall_time))};
 }
--- a/core/planned_stop.cc
+++ b/core/planned_stop.cc
@@ -3,7 +3,9 @@
 namespace ramppond {
 
 auto planned_stop::next(stop_load load, Duration elapsed) const -> stop_phase {
-  if (elapsed >= this->times.end_latest) return stop_phase::ended;
+  if (elapsed >= this->times.end_latest) {
+    return stop_phase::ended;
+  }
   switch (this->reached) {
     case stop_phase::draining:
       return elapsed >= this->times.refuse_peers ? stop_phase::refusing_peers
--- a/core/service_times.cc
+++ b/core/service_times.cc
@@ -13,7 +13,9 @@
 }  // namespace
 
 void service_times::on_begun(const std::string& route, TimePoint now) {
-  if (this->routes.size() >= most_routes && this->routes.count(route) == 0) return;
+  if (this->routes.size() >= most_routes && this->routes.count(route) == 0) {
+    return;
+  }
   auto& entry = this->routes[route];
   ++entry.under_way;
   entry.begun_sum += now;
@@ -21,11 +23,15 @@
 
 void service_times::on_ended(const std::string& route, TimePoint begun, bool done, TimePoint now) {
   const auto found = this->routes.find(route);
-  if (found == this->routes.end() || found->second.under_way == 0) return;
+  if (found == this->routes.end() || found->second.under_way == 0) {
+    return;
+  }
   auto& entry = found->second;
   --entry.under_way;
   entry.begun_sum -= begun;
-  if (!done) return;
+  if (!done) {
+    return;
+  }
   const auto time = now - begun;
   const auto before = entry.smoothed.value_or(time);
   entry.smoothed = before + (time - before) / smoothing;
@@ -33,9 +39,13 @@
 
 auto service_times::of(const std::string& route, TimePoint now) const -> std::optional<Duration> {
   const auto found = this->routes.find(route);
-  if (found == this->routes.end() || !found->second.smoothed) return std::nullopt;
+  if (found == this->routes.end() || !found->second.smoothed) {
+    return std::nullopt;
+  }
   const auto& entry = found->second;
-  if (entry.under_way == 0) return entry.smoothed;
+  if (entry.under_way == 0) {
+    return entry.smoothed;
+  }
   return std::max(*entry.smoothed, now - entry.begun_sum / entry.under_way);
 }
 
