Bounds of the settings come with their names: a stop has the grace time that it is given

The template of the settings wrote the values of `bounds` without their names, and parseBounds() passed over what has no name without a word. So no deployment's bounds were ever taken; where they differ from the defaults (grace and drain time-out of the large sites) the defaults stood. Test: PlatformApi.BoundsComeThroughTheTemplateOfTheSettings, red with the former template.

--- a/core/external_api.h
+++ b/core/external_api.h
@@ -67,7 +67,8 @@
                                                                const std::string& body) const = 0;
   [[nodiscard]] virtual Parsed<TrafficReplacement> parseReplacement(
       const std::string& base_version, const std::string& body) const = 0;
-  [[nodiscard]] virtual OperatingBounds parseBounds(
+  /// From texts of the form NAME=VALUE. Names that are not known are passed over.
+  [[nodiscard]] virtual Parsed<OperatingBounds> parseBounds(
       const std::vector<std::string>& texts) const = 0;
 };
 
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -31,11 +31,12 @@
 }  // namespace
 
 ProxyContext::ProxyContext(EventLoop& event_loop, const ExternalApi& external,
-                           ProxySettings own_settings, std::uint64_t seed)
+                           const OperatingBounds& operating_bounds, ProxySettings own_settings,
+                           std::uint64_t seed)
     : loop(event_loop),
       api(external),
       settings(std::move(own_settings)),
-      bounds(api.parseBounds(settings.bounds)),
+      bounds(operating_bounds),
       random(seed),
       directory({settings.zone, seed}),
       server(bounds.drain_timeout / kDrainingAdmissionDivisor),
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -62,7 +62,8 @@
 class peer_ping;
 
 struct ProxyContext {
-  ProxyContext(EventLoop& event_loop, const ExternalApi& external, ProxySettings own_settings,
+  ProxyContext(EventLoop& event_loop, const ExternalApi& external,
+               const OperatingBounds& operating_bounds, ProxySettings own_settings,
                std::uint64_t seed);
 
   /// The pool to a peer; made when first needed.
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -67,10 +67,10 @@
 
 }  // namespace
 
-ProxyProcess::ProxyProcess(const ExternalApi& api, const ProxySettings& settings,
-                           std::string settings_path)
+ProxyProcess::ProxyProcess(const ExternalApi& api, const OperatingBounds& bounds,
+                           const ProxySettings& settings, std::string settings_path)
     : settings_watch_(std::move(settings_path)),
-      context_(loop_, api, settings, randomNumber64()),
+      context_(loop_, api, bounds, settings, randomNumber64()),
       session_(sessionOptions(settings)),
       channels_(loop_),
       clients_(loop_, settings.client_address, HttpServerOptions{},
@@ -106,7 +106,11 @@
   tellOwnRecord();
   everySecond();
   checkPeers();
-  logEvent(EventLoop::now().count(), "started", {{"name", context_.settings.name}});
+  logEvent(EventLoop::now().count(), "started",
+           {{"name", context_.settings.name},
+            {"grace_us", std::to_string(context_.bounds.grace.count())},
+            {"drain_timeout_us", std::to_string(context_.bounds.drain_timeout.count())},
+            {"retry_ratio", std::to_string(context_.bounds.retry_ratio)}});
   return std::nullopt;
 }
 
--- a/daemon/proxy/proxy_process.h
+++ b/daemon/proxy/proxy_process.h
@@ -21,7 +21,8 @@
 class ProxyProcess {
  public:
   /// `settings_path` is read again when it changes.
-  ProxyProcess(const ExternalApi& api, const ProxySettings& settings, std::string settings_path);
+  ProxyProcess(const ExternalApi& api, const OperatingBounds& bounds, const ProxySettings& settings,
+               std::string settings_path);
 
   /// Listens everywhere. Nothing on success, else the reason.
   std::optional<std::string> start();
--- a/daemon/proxy/proxy_settings.h
+++ b/daemon/proxy/proxy_settings.h
@@ -21,7 +21,7 @@
   std::vector<std::string> seeds;  ///< HOST:PORT of some control members' operator ports.
   std::uint16_t member_port = 0;   ///< Where control members talk to daemons, on every machine.
   std::uint32_t max_descriptors = 0;  ///< That the process may hold; 0 for no limit.
-  std::vector<std::string> bounds;    ///< As the platform writes them; see ExternalApi.
+  std::vector<std::string> bounds;    ///< NAME=VALUE each; see ExternalApi.
 };
 
 /// Reads `path`. On an error gives nothing and sets `error`.
--- a/tests/platform/forwarding_day_test.cc
+++ b/tests/platform/forwarding_day_test.cc
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <iostream>
 #include <set>
+#include <sstream>
 
 #include "tests/platform/stand_in.h"
 
@@ -517,5 +518,28 @@
   }
 }
 
+TEST(ForwardingSettings, BoundsWithoutTheirNamesAreRefused) {
+  Deployment day;
+  const std::string path = day.folder + "/bounds.toml";
+  std::ofstream(path) << R"(name = "a"
+zone = "z"
+service = "s"
+client_address = "127.0.0.1:1"
+peer_address = "127.0.0.1:1"
+readiness_address = "127.0.0.1:1"
+report_address = "127.0.0.1:1"
+server_address = "127.0.0.1:1"
+member_port = 1
+seeds = []
+bounds = ["2.5", "10"]
+)";
+  Program run(RAMPPOND_PROXY, path, path + ".log");
+  ASSERT_TRUE(day.runUntil([&] { return !run.running(); }));
+  EXPECT_EQ(run.exitStatus(), 2);
+  std::stringstream log;
+  log << std::ifstream(path + ".log").rdbuf();
+  EXPECT_NE(log.str().find("bounds: expected NAME=VALUE, found '2.5'"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace ramppond::stand_in
--- a/tests/platform/platform_api_test.cc
+++ b/tests/platform/platform_api_test.cc
@@ -62,6 +62,76 @@
   EXPECT_NE(api.parseReplacement("zz", kDocument).error, "");
 }
 
+struct BoundsRow {
+  std::vector<std::string> texts;
+  std::string error;  ///< "" where they are right.
+};
+
+void PrintTo(const BoundsRow& row, std::ostream* out) {
+  *out << (row.texts.empty() ? "none" : row.texts.front());
+}
+
+class BoundsTest : public testing::TestWithParam<BoundsRow> {};
+
+TEST_P(BoundsTest, AreReadOrRefusedWithTheirName) {
+  EXPECT_EQ(PlatformApi().parseBounds(GetParam().texts).error, GetParam().error);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Texts, BoundsTest,
+    testing::Values(
+        BoundsRow{{}, ""}, BoundsRow{{"grace_s=10", "drain_timeout_s=2.5"}, ""},
+        BoundsRow{{"unheard_of=true"}, ""},
+        BoundsRow{{"10"}, "bounds: expected NAME=VALUE, found '10'"},
+        BoundsRow{{"=10"}, "bounds: expected NAME=VALUE, found '=10'"},
+        BoundsRow{{"grace_s=long"},
+                  "bounds: grace_s: expected a number of 0 or more, found 'long'"},
+        BoundsRow{{"grace_s="}, "bounds: grace_s: expected a number of 0 or more, found ''"},
+        BoundsRow{{"retry_budget_ratio=-1"},
+                  "bounds: retry_budget_ratio: expected a number of 0 or more, found '-1'"}));
+
+struct TemplateEntry {
+  std::string key;
+  std::string value;
+};
+
+void replaceAll(std::string& text, const std::string& mark, const std::string& by) {
+  for (auto at = text.find(mark); at != std::string::npos; at = text.find(mark, at + by.size())) {
+    text.replace(at, mark.size(), by);
+  }
+}
+
+/// What the section for `table` in the template of a proxy's settings becomes, entry by entry, as
+/// the platform fills it in: {{@}} is the key, {{.}} the value.
+std::vector<std::string> filledIn(const std::string& table,
+                                  const std::vector<TemplateEntry>& entries) {
+  std::ifstream file(std::string(RAMPPOND_SOURCE_FOLDER) + "/deploy/proxy.toml.template");
+  std::stringstream whole;
+  whole << file.rdbuf();
+  const std::string text = whole.str();
+  const std::string begin = "{{#" + table + "}}\"";
+  const std::size_t from = text.find(begin) + begin.size();
+  const std::string form = text.substr(from, text.find("\"{{,}}{{/" + table + "}}") - from);
+  std::vector<std::string> filled;
+  for (const TemplateEntry& entry : entries) {
+    filled.push_back(form);
+    replaceAll(filled.back(), "{{@}}", entry.key);
+    replaceAll(filled.back(), "{{.}}", entry.value);
+  }
+  return filled;
+}
+
+// Found on the bench: the template left out the names, so every daemon kept its defaults and ended
+// six seconds after SIGTERM where ten were given, with a request under way (LOST).
+TEST(PlatformApi, BoundsComeThroughTheTemplateOfTheSettings) {
+  const auto parsed = PlatformApi().parseBounds(filledIn(
+      "bounds", {{"grace_s", "10"}, {"drain_timeout_s", "2.5"}, {"retry_budget_ratio", "0.3"}}));
+  ASSERT_TRUE(parsed.value) << parsed.error;
+  EXPECT_EQ(parsed.value->grace, seconds(10));
+  EXPECT_EQ(parsed.value->drain_timeout, milliseconds(2500));
+  EXPECT_EQ(parsed.value->retry_ratio, 0.3);
+}
+
 TEST(PlatformApi, ReadsAHeartbeat) {
   const PlatformApi api;
   const auto parsed = api.parseHeartbeat(
