The rebate of the own zone shrinks as its servers fill up

Cause: a server of the own zone costs 0.6 of what it would cost elsewhere at any load, so that a full one is left only for servers that are less than half full. Change: the rebate shrinks from a utilization of 0.5 on and is gone at 0.9, before requests begin to wait. Test: OwnZoneTest, two rows red with the former cost.

--- a/core/instance_directory.cc
+++ b/core/instance_directory.cc
@@ -7,8 +7,12 @@
 
 // What an idle server costs against a full one: the weight of speed and zone at low load.
 constexpr double kIdleCost = 0.3;
-// The own zone is left when another server costs less than this part of it.
+// A server of the own zone costs this part of what it would cost elsewhere, since bytes between
+// zones have a price. A request that finds no room costs far more: the rebate shrinks from the
+// first utilization on and is gone at the second, before requests begin to wait.
 constexpr double kOwnZoneRebate = 0.6;
+constexpr double kRebateShrinksFrom = 0.5;
+constexpr double kRebateGoneAt = 0.9;
 // Servers of one service differ by this much in speed on an ordinary day; what is slower than that
 // is slow for a reason.
 constexpr double kOrdinarySpeedRatio = 2.5;
@@ -33,6 +37,12 @@
 // Of one service that one daemon sends requests on.
 constexpr std::size_t kMostRoutes = 64;
 
+// What part of its cost a server of the own zone costs.
+double ownZoneRebate(double utilization) {
+  const double beyond = (utilization - kRebateShrinksFrom) / (kRebateGoneAt - kRebateShrinksFrom);
+  return kOwnZoneRebate + (1 - kOwnZoneRebate) * std::clamp(beyond, 0.0, 1.0);
+}
+
 }  // namespace
 
 InstanceDirectory::InstanceDirectory(InstanceDirectoryOptions options)
@@ -123,7 +133,8 @@
 double InstanceDirectory::cost(const KnownInstance& instance, const std::string& route,
                                const ServiceBaseline& baseline, TimePoint now) {
   const auto service_time = recentServiceTime(instance, route, now);
-  double cost = kIdleCost + utilization(instance);
+  const double utilized = utilization(instance);
+  double cost = kIdleCost + utilized;
   if (service_time && baseline.fastest && *baseline.fastest > Duration(0)) {
     const double ratio =
         static_cast<double>(service_time->count()) / static_cast<double>(baseline.fastest->count());
@@ -134,7 +145,7 @@
     const std::uint32_t excess = instance.load.failed_permille - baseline.median_failed_permille;
     cost *= 1 + kFailedWeight * excess / kThousand;
   }
-  cost *= instance.record.zone == options_.zone ? kOwnZoneRebate : 1.0;
+  cost *= instance.record.zone == options_.zone ? ownZoneRebate(utilized) : 1.0;
   cost += instance.refused_until > now ? kRefusedCost : 0;
   cost += instance.record.state == InstanceState::kStopping ? kStoppingCost : 0;
   const bool unreachable = instance.unreachable_until > now || instance.liveness.is_silent();
--- a/core/instance_directory.h
+++ b/core/instance_directory.h
@@ -2,8 +2,8 @@
 //
 // Knows what the registry tells, what answers tell of each server's load, and which daemons could
 // not be reached. Each server has a cost that grows with its utilization and, beyond the ordinary
-// difference in speed, with its service time; the own zone has a rebate, since bytes between zones
-// cost. The cheapest is taken. Pure, not thread safe.
+// difference in speed, with its service time; the own zone has a rebate while it has room, since
+// bytes between zones cost. The cheapest is taken. Pure, not thread safe.
 #pragma once
 
 #include <cstdint>
--- a/tests/core/instance_directory_test.cc
+++ b/tests/core/instance_directory_test.cc
@@ -45,6 +45,35 @@
   EXPECT_EQ(choose({"far", "near"}), "");
 }
 
+struct OwnZoneRow {
+  std::uint32_t near_under_way;  // Of ten.
+  std::uint32_t far_under_way;
+  const char* chosen;
+};
+
+void PrintTo(const OwnZoneRow& row, std::ostream* out) {
+  *out << row.near_under_way << " near, " << row.far_under_way << " far: " << row.chosen;
+}
+
+class OwnZoneTest : public InstanceDirectoryTest, public testing::WithParamInterface<OwnZoneRow> {};
+
+// The traffic of a zone is not in proportion to its servers: none may refuse work while those of
+// another zone have room for it.
+TEST_P(OwnZoneTest, IsLeftWhenItIsNearlyFullAndOthersAreNot) {
+  directory_.offer(record("far", "zone-b"));
+  directory_.offer(record("near", "zone-a"));
+  directory_.onLoad(find("near"), "route", {10, GetParam().near_under_way, 0, milliseconds(10), 0},
+                    now_);
+  directory_.onLoad(find("far"), "route", {10, GetParam().far_under_way, 0, milliseconds(10), 0},
+                    now_);
+  EXPECT_EQ(choose(), GetParam().chosen);
+}
+
+INSTANTIATE_TEST_SUITE_P(ByLoad, OwnZoneTest,
+                         testing::Values(OwnZoneRow{0, 0, "near"}, OwnZoneRow{4, 1, "near"},
+                                         OwnZoneRow{6, 5, "near"}, OwnZoneRow{9, 6, "far"},
+                                         OwnZoneRow{9, 8, "far"}, OwnZoneRow{9, 10, "near"}));
+
 TEST_F(InstanceDirectoryTest, ASlowServerIsAvoidedAndAskedAgainLater) {
   directory_.offer(record("far", "zone-b"));
   directory_.offer(record("near", "zone-a"));
