--- /dev/null
+++ b/tests/platform/forwarding_day.cc
@@ -0,0 +1,55 @@
+#include "tests/platform/forwarding_day.h"
+
+#include <fstream>
+#include <iostream>
+
+namespace ramppond::stand_in {
+
+void ForwardingDay::TearDown() {
+  if (!HasFailure()) {
+    return;
+  }
+  for (const auto* programs : {&day_.control, &day_.proxies}) {
+    for (const auto& program : *programs) {
+      std::cout << (program->running() ? "runs " : "ended ") << program->exitStatus() << "\n";
+    }
+  }
+  std::cout << std::ifstream(day_.folder + "/log").rdbuf() << std::endl;
+  for (const auto& server : day_.servers) {
+    std::cout << "acknowledged heartbeats: " << server->beats_acknowledged << "\n";
+  }
+}
+
+bool isUnsafe(std::size_t number) {
+  return number % 3 == 0;
+}
+
+std::map<std::string, Answer> ForwardingDay::sendMany(std::size_t count, std::size_t at_once) {
+  std::map<std::string, Answer> answers;
+  for (std::size_t number = 0; number < count; ++number) {
+    const std::string id = "own-" + std::to_string(number);
+    Request wanted = request(isUnsafe(number) ? "/two/a?n=1" : "/one/a", id);
+    wanted.headers["Caller-Service"] = "forged";
+    wanted.headers["Expect-Instance"] = "forged";
+    wanted.headers["Ramppond-Instance"] = "forged";
+    if (isUnsafe(number)) {
+      wanted.method = "POST";
+      wanted.body = "body of " + id;
+    }
+    EXPECT_TRUE(day_.runUntil([&] { return number - answers.size() < at_once; }));
+    day_.sendLater(static_cast<int>(number % Deployment::kServerMachines), wanted,
+                   [&answers, id](const Answer& answer) { answers[id] = answer; });
+  }
+  EXPECT_TRUE(day_.runUntil([&] { return answers.size() == count; }));
+  return answers;
+}
+
+bool isOwnAnswer(std::size_t number, const Answer& answer) {
+  const std::string id = "own-" + std::to_string(number);
+  const std::string expected = isUnsafe(number) ? "two POST /two/a?n=1 " + id + " body of " + id
+                                                : "one GET /one/a " + id + " ";
+  return answer.complete && answer.status == 200 && answer.body == expected &&
+         answer.request_id == id;
+}
+
+}  // namespace ramppond::stand_in
