The own zone's rebate keeps a rest at full load, waits count in full

Change: the rebate shrinks to 0.85, not to 1, and leaves out the wait of a full server, which counts by its speed.

--- a/core/instance_directory.cc
+++ b/core/instance_directory.cc
@@ -8,11 +8,13 @@
 // What an idle server costs against a full one: the weight of speed and zone at low load.
 constexpr double kIdleCost = 0.3;
 // A server of the own zone costs this part of what it would cost elsewhere, since bytes between
-// zones have a price. A request that finds no room costs far more: the rebate shrinks from the
-// first utilization on and is gone at the second, before requests begin to wait.
+// zones have a price. A request that finds no room costs far more: between these utilizations the
+// rebate shrinks to its rest. What is left makes up for a wait that is a fifth of a service time
+// longer; beyond that a request goes to another zone.
 constexpr double kOwnZoneRebate = 0.6;
+constexpr double kOwnZoneRebateWhenFull = 0.85;
 constexpr double kRebateShrinksFrom = 0.5;
-constexpr double kRebateGoneAt = 0.9;
+constexpr double kRebateShrunkAt = 0.9;
 // Servers of one service differ by this much in speed on an ordinary day; what is slower than that
 // is slow for a reason.
 constexpr double kOrdinarySpeedRatio = 2.5;
@@ -39,8 +41,9 @@
 
 // What part of its cost a server of the own zone costs.
 double ownZoneRebate(double utilization) {
-  const double beyond = (utilization - kRebateShrinksFrom) / (kRebateGoneAt - kRebateShrinksFrom);
-  return kOwnZoneRebate + (1 - kOwnZoneRebate) * std::clamp(beyond, 0.0, 1.0);
+  const double beyond = (utilization - kRebateShrinksFrom) / (kRebateShrunkAt - kRebateShrinksFrom);
+  const double shrunk = std::clamp(beyond, 0.0, 1.0);
+  return kOwnZoneRebate + (kOwnZoneRebateWhenFull - kOwnZoneRebate) * shrunk;
 }
 
 }  // namespace
@@ -139,15 +142,15 @@
     slowness =
         static_cast<double>(service_time->count()) / static_cast<double>(baseline.fastest->count());
   }
-  double cost =
-      (kIdleCost + std::min(utilized, 1.0)) * std::max(1.0, slowness / kOrdinarySpeedRatio);
+  double cost = kIdleCost + std::min(utilized, 1.0);
+  cost *= std::max(1.0, slowness / kOrdinarySpeedRatio);
+  cost *= instance.record.zone == options_.zone ? ownZoneRebate(utilized) : 1.0;
   cost += std::max(utilized - 1, 0.0) * slowness;
   const bool fails_more = instance.load.failed_permille > baseline.median_failed_permille;
   if (fails_more && toldRecently(instance, now)) {
     const std::uint32_t excess = instance.load.failed_permille - baseline.median_failed_permille;
     cost *= 1 + kFailedWeight * excess / kThousand;
   }
-  cost *= instance.record.zone == options_.zone ? ownZoneRebate(utilized) : 1.0;
   cost += instance.refused_until > now ? kRefusedCost : 0;
   cost += instance.record.state == InstanceState::kStopping ? kStoppingCost : 0;
   const bool unreachable = instance.unreachable_until > now || instance.liveness.is_silent();
