Requests wait in order of rank, then of the end of their patience; clients' requests beside calls

Change: within a rank the one whose patience ends first goes first; a client's request that is less urgent than calls has their rank. The level at the front decides who is let in; the queue does not decide it again. Test: AdmissionOrderTest, new rows of a new order (not red before as such: the former order had no such rule).

--- a/core/server_admission.cc
+++ b/core/server_admission.cc
@@ -1,6 +1,7 @@
 #include "core/server_admission.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace ramppond {
 namespace {
@@ -20,15 +21,12 @@
   limit_ = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(usable));
 }
 
-std::size_t ServerAdmission::waitingBefore(std::uint32_t priority) const {
-  std::size_t count = 0;
-  for (const auto& [position, waiting] : waiting_) {
-    if (position.priority > priority) {
-      break;
-    }
-    count += 1;
-  }
-  return count;
+std::uint32_t ServerAdmission::rankOf(const AdmissionRequest& request) const {
+  return std::min(request.priority, most_urgent_call_.value_or(request.priority));
+}
+
+std::size_t ServerAdmission::waitingBefore(const Position& position) const {
+  return static_cast<std::size_t>(std::distance(waiting_.begin(), waiting_.lower_bound(position)));
 }
 
 double ServerAdmission::utilization() const {
@@ -36,6 +34,9 @@
 }
 
 AdmissionVerdict ServerAdmission::offer(const AdmissionRequest& request, TimePoint now) {
+  if (request.is_call) {
+    most_urgent_call_ = rankOf(request);
+  }
   if (under_way_ < limit_ && waiting_.empty()) {
     under_way_ += 1;
     overload_.on_offer({utilization(), Duration(0), request.pressing_wait}, now);
@@ -43,14 +44,14 @@
     counters_.dispatched += 1;
     return AdmissionVerdict::kDispatch;
   }
-  const auto ahead = static_cast<std::int64_t>(waitingBefore(request.priority) + 1);
+  const Position position = {rankOf(request), now + request.patience, arrivals_++};
+  const auto ahead = static_cast<std::int64_t>(waitingBefore(position) + 1);
   const Duration wait = service_time_ * ahead / static_cast<std::int64_t>(limit_);
   overload_.on_offer({1, wait, request.pressing_wait}, now);
   if (waiting_.size() >= kMaximumWaiting || wait > request.patience) {
     counters_.refused_full += 1;
     return AdmissionVerdict::kRefuse;
   }
-  const Position position = {request.priority, arrivals_++};
   waiting_[position] = {request.id, now + request.patience};
   positions_[request.id] = position;
   counters_.waited += 1;
--- a/core/server_admission.h
+++ b/core/server_admission.h
@@ -1,15 +1,19 @@
 // Admission in front of one server: how many requests it works on, and who waits.
 //
 // All requests to a server pass the daemon beside it, so the count is exact. A request is
-// dispatched while fewer than the limit are under way; otherwise it waits in order of priority,
-// then of arrival, for a bounded time. Nothing is dispatched beyond the server's slots: some
-// servers never answer what they cannot queue. Pure, not thread safe.
+// dispatched while fewer than the limit are under way; otherwise it waits in order of rank, then of
+// the end of its patience, for a bounded time. A call says nothing of the rank of the request that
+// it serves, so clients' requests that are less urgent than calls wait beside them, not behind: a
+// client's request that the front let in is as much admitted work as a call. Nothing is dispatched
+// beyond the server's slots: some servers never answer what they cannot queue. Pure, not thread
+// safe.
 #pragma once
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "core/overload_controller.h"
@@ -43,6 +47,7 @@
   std::uint32_t priority = 0;  ///< 0 is the most urgent.
   Duration patience{0};        ///< The longest that it may wait.
   Duration pressing_wait{0};   ///< A wait that means full pressure; see core/patience.h.
+  bool is_call = false;        ///< Of a server, or may be one.
 };
 
 struct AdmissionCounters {
@@ -87,10 +92,11 @@
 
  private:
   struct Position {
-    std::uint32_t priority = 0;
+    std::uint32_t rank = 0;
+    TimePoint until{0};
     std::uint64_t arrival = 0;
     bool operator<(const Position& other) const {
-      return priority != other.priority ? priority < other.priority : arrival < other.arrival;
+      return std::tie(rank, until, arrival) < std::tie(other.rank, other.until, other.arrival);
     }
   };
   struct Waiting {
@@ -98,11 +104,13 @@
     TimePoint until{0};
   };
   [[nodiscard]] double utilization() const;
-  [[nodiscard]] std::size_t waitingBefore(std::uint32_t priority) const;
+  [[nodiscard]] std::uint32_t rankOf(const AdmissionRequest& request) const;
+  [[nodiscard]] std::size_t waitingBefore(const Position& position) const;
 
   std::uint32_t limit_ = 1;
   std::size_t under_way_ = 0;
   std::uint64_t arrivals_ = 0;
+  std::optional<std::uint32_t> most_urgent_call_;  ///< Priority of calls seen.
   std::map<Position, Waiting> waiting_;
   std::map<AdmissionId, Position> positions_;
   Duration service_time_ = milliseconds(50);
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -68,7 +68,8 @@
   admission_.id = context_.next_admission_id++;
   admission_.priority = static_cast<std::uint32_t>(std::strtoul(priority.c_str(), nullptr, 10));
   admission_.patience = parseMilliseconds(head.find(kPeerPatienceMs)).value_or(Duration(0));
-  admission_.pressing_wait = pressing_wait(admission_.patience, head.find(kPeerCall) != nullptr);
+  admission_.is_call = head.find(kPeerCall) != nullptr;
+  admission_.pressing_wait = pressing_wait(admission_.patience, admission_.is_call);
   head.removeHopByHop();
   repeatable_ = head.find(kPeerRepeatable) != nullptr;
   confirmed_by_end_ = parseBodyForm(head.get(kPeerConfirm));
--- a/tests/core/server_admission_test.cc
+++ b/tests/core/server_admission_test.cc
@@ -53,6 +53,53 @@
   EXPECT_EQ(admission.takeDispatchable(TimePoint(0)), AdmissionId{3});
 }
 
+struct OrderRow {
+  const char* name;
+  AdmissionRequest first;  ///< Offered before the second; both must wait.
+  AdmissionRequest second;
+  AdmissionId next;  ///< The one that is dispatched next.
+};
+
+void PrintTo(const OrderRow& row, std::ostream* out) {
+  *out << row.name;
+}
+
+class AdmissionOrderTest : public testing::TestWithParam<OrderRow> {};
+
+TEST_P(AdmissionOrderTest, IsByRankThenByTheEndOfPatience) {
+  ServerAdmission admission;
+  admission.setSlots(1);
+  admission.offer({9, 0, kPatience}, TimePoint(0));
+  ASSERT_EQ(admission.offer(GetParam().first, TimePoint(0)), AdmissionVerdict::kWait);
+  ASSERT_EQ(admission.offer(GetParam().second, milliseconds(1)), AdmissionVerdict::kWait);
+  admission.onFinished(TimePoint(0), ServerOutcome::kAnswered, milliseconds(1));
+  EXPECT_EQ(admission.takeDispatchable(milliseconds(1)), GetParam().next);
+}
+
+AdmissionRequest call(AdmissionId id, std::uint32_t priority, Duration patience) {
+  return {id, priority, patience, patience, true};
+}
+
+AdmissionRequest fromClient(AdmissionId id, std::uint32_t priority, Duration patience) {
+  return {id, priority, patience, patience, false};
+}
+
+constexpr Duration kLongPatience = milliseconds(500);
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, AdmissionOrderTest,
+    testing::Values(OrderRow{"FirstComeOfEquals", call(1, 1, kPatience * 2),
+                             call(2, 1, kPatience * 2), 1},
+                    OrderRow{"AnUrgentClientBeforeACall", call(1, 1, kPatience * 2),
+                             fromClient(2, 0, kLongPatience), 2},
+                    OrderRow{"AClientThatMustBeServedSoonBeforeACall", call(1, 1, kLongPatience),
+                             fromClient(2, 2, kPatience * 2), 2},
+                    OrderRow{"AClientThatCanWaitBehindACall", fromClient(1, 2, kLongPatience),
+                             call(2, 1, kPatience * 2), 2},
+                    OrderRow{"RankBeforePatienceAmongClients", fromClient(1, 2, kPatience * 2),
+                             fromClient(2, 1, kLongPatience), 2}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 TEST(ServerAdmission, WhoeverWaitsTooLongIsGivenUpOnTime) {
   ServerAdmission admission;
   admission.setSlots(1);
