A heartbeat that was held up does not bring back a crashed instance

Ruled out: never taking back an instance that gave way (after a restart of the daemon a late heartbeat of the dead one may be the first that is heard of it: AfterARestartTheLivingInstanceIsHeardAgain). Change: of two instances at one address the one with fewer heartbeats is the younger, so the living one; an older one comes back only if it sends twice while the other is silent.

--- a/core/local_server.cc
+++ b/core/local_server.cc
@@ -18,6 +18,10 @@
   }
   past.sequence = heartbeat.sequence;
   const bool same = known_ && current_.instance_id == heartbeat.instance_id;
+  if (known_ && !same && !first && !mayReturn(heartbeat)) {
+    return false;
+  }
+  insisting_.clear();
   const bool changed = !same || draining_ != heartbeat.draining ||
                        current_.slots != heartbeat.slots || current_.service != heartbeat.service;
   if (heartbeat.draining && !(same && draining_)) {
@@ -29,6 +33,14 @@
   return changed;
 }
 
+// Of two instances at one address the one that has sent fewer heartbeats began later, so it is the
+// one that lives. One that goes on to send while the other is silent lives too, whatever its count.
+bool LocalServer::mayReturn(const ServerHeartbeat& heartbeat) {
+  const bool insists = insisting_ == heartbeat.instance_id;
+  insisting_ = heartbeat.instance_id;
+  return insists || heartbeat.sequence < current_.sequence;
+}
+
 bool LocalServer::onLeave(const std::string& instance_id, TimePoint now) {
   if (past_.count(instance_id) == 0) {
     forgetOldest();
--- a/core/local_server.h
+++ b/core/local_server.h
@@ -40,7 +40,8 @@
   /// under way to a leaving instance may be admitted.
   explicit LocalServer(Duration draining_admission) : draining_admission_(draining_admission) {}
 
-  /// Returns whether anything that others must know has changed. Late heartbeats change nothing.
+  /// Returns whether anything that others must know has changed. Late heartbeats change nothing,
+  /// also those that were held up until another instance had registered.
   bool onHeartbeat(const ServerHeartbeat& heartbeat, TimePoint now);
   /// The instance has left or is about to end; it is never taken back.
   bool onLeave(const std::string& instance_id, TimePoint now);
@@ -65,6 +66,8 @@
     bool left = false;
   };
   void forgetOldest();
+  /// Whether an instance that gave way to the current one may be current again.
+  bool mayReturn(const ServerHeartbeat& heartbeat);
 
   Duration draining_admission_;
   bool known_ = false;
@@ -72,6 +75,7 @@
   TimePoint draining_since_{0};
   ServerHeartbeat current_;
   std::map<std::string, Past> past_;
+  std::string insisting_;  ///< A former instance, heard once since the current one was.
 };
 
 }  // namespace ramppond
--- a/tests/core/local_server_test.cc
+++ b/tests/core/local_server_test.cc
@@ -53,6 +53,26 @@
   EXPECT_EQ(server.admit("new", "desk", TimePoint(0)), FenceVerdict::kAdmit);
 }
 
+TEST(LocalServer, AHeartbeatThatWasHeldUpDoesNotBringBackACrashedInstance) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(heartbeat("old", 40), TimePoint(0));
+  EXPECT_TRUE(server.onHeartbeat(heartbeat("new", 1), seconds(2)));
+  EXPECT_FALSE(server.onHeartbeat(heartbeat("old", 41), seconds(3)));
+  EXPECT_EQ(server.admit("new", "desk", seconds(3)), FenceVerdict::kAdmit);
+  EXPECT_FALSE(server.onHeartbeat(heartbeat("new", 2), seconds(4)));
+  EXPECT_FALSE(server.onHeartbeat(heartbeat("old", 42), seconds(5)));
+  EXPECT_EQ(server.admit("new", "desk", seconds(5)), FenceVerdict::kAdmit);
+}
+
+TEST(LocalServer, AnInstanceThatGoesOnWhileTheOtherIsSilentIsTakenBack) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(heartbeat("living", 8), TimePoint(0));
+  server.onHeartbeat(heartbeat("late", 2), TimePoint(0));
+  EXPECT_FALSE(server.onHeartbeat(heartbeat("living", 9), seconds(1)));
+  EXPECT_TRUE(server.onHeartbeat(heartbeat("living", 10), seconds(2)));
+  EXPECT_EQ(server.admit("living", "desk", seconds(2)), FenceVerdict::kAdmit);
+}
+
 TEST(LocalServer, AfterARestartTheLivingInstanceIsHeardAgain) {
   LocalServer server(kDrainingAdmission);
   server.onHeartbeat(heartbeat("new", 5), TimePoint(0));
