--- a/tests/platform/stand_in.cc
+++ b/tests/platform/stand_in.cc
@@ -165,6 +165,13 @@
       instance_(std::move(instance)),
       beat_timer_(loop) {}
 
+// A heartbeat under way and its connection hold each other.
+AppServer::~AppServer() {
+  for (const auto& exchange : exchanges_) {
+    exchange->cancel();
+  }
+}
+
 void AppServer::start() {
   server_ = std::make_unique<StreamHttpServer>(
       loop_, Endpoint{host_, ports_.server}, HttpServerOptions{},
@@ -243,6 +250,9 @@
 }
 
 Deployment::~Deployment() {
+  for (const SentLater& sent : sent_later_) {
+    sent.exchange->cancel();
+  }
   proxies.clear();
   control.clear();
   std::filesystem::remove_all(folder);
--- a/tests/platform/stand_in.h
+++ b/tests/platform/stand_in.h
@@ -76,6 +76,9 @@
  public:
   AppServer(EventLoop& loop, std::string host, const Ports& ports, std::string service,
             std::string instance);
+  ~AppServer();
+  AppServer(const AppServer&) = delete;
+  AppServer& operator=(const AppServer&) = delete;
   void start();
   void beat(const std::string& state);
   void stopBeating() { beating_ = false; }
