The rank of calls at a server is one of late: a request once taken for a call does not set it for ever

Ruled out: counting only requests that are surely calls (at the last hop most are 'may be one'). Change: the rank is forgotten when no call has had it for five seconds.

--- a/core/server_admission.cc
+++ b/core/server_admission.cc
@@ -12,6 +12,8 @@
 constexpr std::size_t kMaximumWaiting = 512;
 // Weight of one answer in the smoothed service time.
 constexpr std::int64_t kSmoothing = 16;
+// A client's request may be taken for a call until its route is known; such a rank is forgotten.
+constexpr Duration kCallRankRemembered = seconds(5);
 
 }  // namespace
 
@@ -21,6 +23,14 @@
   limit_ = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(usable));
 }
 
+void ServerAdmission::noteCall(std::uint32_t priority, TimePoint now) {
+  const bool forgotten = now - most_urgent_call_seen_ > kCallRankRemembered;
+  if (forgotten || priority <= most_urgent_call_.value_or(priority)) {
+    most_urgent_call_ = priority;
+    most_urgent_call_seen_ = now;
+  }
+}
+
 std::uint32_t ServerAdmission::rankOf(const AdmissionRequest& request) const {
   return std::min(request.priority, most_urgent_call_.value_or(request.priority));
 }
@@ -35,7 +45,7 @@
 
 AdmissionVerdict ServerAdmission::offer(const AdmissionRequest& request, TimePoint now) {
   if (request.is_call) {
-    most_urgent_call_ = rankOf(request);
+    noteCall(request.priority, now);
   }
   if (under_way_ < limit_ && waiting_.empty()) {
     under_way_ += 1;
--- a/core/server_admission.h
+++ b/core/server_admission.h
@@ -104,13 +104,15 @@
     TimePoint until{0};
   };
   [[nodiscard]] double utilization() const;
+  void noteCall(std::uint32_t priority, TimePoint now);
   [[nodiscard]] std::uint32_t rankOf(const AdmissionRequest& request) const;
   [[nodiscard]] std::size_t waitingBefore(const Position& position) const;
 
   std::uint32_t limit_ = 1;
   std::size_t under_way_ = 0;
   std::uint64_t arrivals_ = 0;
-  std::optional<std::uint32_t> most_urgent_call_;  ///< Priority of calls seen.
+  std::optional<std::uint32_t> most_urgent_call_;  ///< Priority among calls of late.
+  TimePoint most_urgent_call_seen_{0};
   std::map<Position, Waiting> waiting_;
   std::map<AdmissionId, Position> positions_;
   Duration service_time_ = milliseconds(50);
--- a/tests/core/server_admission_test.cc
+++ b/tests/core/server_admission_test.cc
@@ -100,6 +100,18 @@
                              fromClient(2, 1, kLongPatience), 2}),
     [](const auto& info) { return std::string(info.param.name); });
 
+TEST(ServerAdmission, ARequestOnceTakenForACallDoesNotSetTheRankForEver) {
+  ServerAdmission admission;
+  admission.setSlots(1);
+  admission.offer(call(1, 0, kPatience), TimePoint(0));
+  const TimePoint later = seconds(10);
+  ASSERT_EQ(admission.offer(call(2, 1, kPatience), later), AdmissionVerdict::kWait);
+  ASSERT_EQ(admission.offer(fromClient(3, 2, kPatience / 2), later), AdmissionVerdict::kWait);
+  ASSERT_EQ(admission.offer(fromClient(4, 0, kPatience), later), AdmissionVerdict::kWait);
+  admission.onFinished(TimePoint(0), ServerOutcome::kAnswered, later);
+  EXPECT_EQ(admission.takeDispatchable(later), AdmissionId{4});
+}
+
 TEST(ServerAdmission, WhoeverWaitsTooLongIsGivenUpOnTime) {
   ServerAdmission admission;
   admission.setSlots(1);
