Requests wait in order of the time when they are due, so that long ones do not take the slots of short ones

Change: the place is that of the end of patience plus the service time of the route at this server. Test: AdmissionOrderTest AShortCallBeforeALongClient.

--- a/core/server_admission.cc
+++ b/core/server_admission.cc
@@ -54,7 +54,8 @@
     counters_.dispatched += 1;
     return AdmissionVerdict::kDispatch;
   }
-  const Position position = {rankOf(request), now + request.patience, arrivals_++};
+  const TimePoint due = now + request.patience + request.service_time.value_or(Duration(0));
+  const Position position = {rankOf(request), due, arrivals_++};
   const auto ahead = static_cast<std::int64_t>(waitingBefore(position) + 1);
   const Duration wait = service_time_ * ahead / static_cast<std::int64_t>(limit_);
   overload_.on_offer({1, wait, request.pressing_wait}, now);
--- a/core/server_admission.h
+++ b/core/server_admission.h
@@ -2,11 +2,12 @@
 //
 // All requests to a server pass the daemon beside it, so the count is exact. A request is
 // dispatched while fewer than the limit are under way; otherwise it waits in order of rank, then of
-// the end of its patience, for a bounded time. A call says nothing of the rank of the request that
-// it serves, so clients' requests that are less urgent than calls wait beside them, not behind: a
-// client's request that the front let in is as much admitted work as a call. Nothing is dispatched
-// beyond the server's slots: some servers never answer what they cannot queue. Pure, not thread
-// safe.
+// the moment at which it would be done if it began at the end of its patience, for a bounded time.
+// So long requests do not take the slots of many short ones. A call says nothing of the rank of the
+// request that it serves, so clients' requests that are less urgent than calls wait beside them,
+// not behind: a client's request that the front let in is as much admitted work as a call. Nothing
+// is dispatched beyond the server's slots: some servers never answer what they cannot queue. Pure,
+// not thread safe.
 #pragma once
 
 #include <cstdint>
@@ -48,6 +49,8 @@
   Duration patience{0};        ///< The longest that it may wait.
   Duration pressing_wait{0};   ///< A wait that means full pressure; see core/patience.h.
   bool is_call = false;        ///< Of a server, or may be one.
+  /// How long the server takes for requests of its route; one that is not known counts as short.
+  std::optional<Duration> service_time = std::nullopt;
 };
 
 struct AdmissionCounters {
@@ -93,10 +96,10 @@
  private:
   struct Position {
     std::uint32_t rank = 0;
-    TimePoint until{0};
+    TimePoint due{0};
     std::uint64_t arrival = 0;
     bool operator<(const Position& other) const {
-      return std::tie(rank, until, arrival) < std::tie(other.rank, other.until, other.arrival);
+      return std::tie(rank, due, arrival) < std::tie(other.rank, other.due, other.arrival);
     }
   };
   struct Waiting {
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -107,6 +107,7 @@
     return;
   }
   state_ = State::kWaiting;
+  admission_.service_time = context_.times.of(route_, EventLoop::now());
   const AdmissionVerdict verdict = context_.admission.offer(admission_, EventLoop::now());
   if (verdict == AdmissionVerdict::kRefuse) {
     context_.counters.inbound_refused += 1;
--- a/tests/core/server_admission_test.cc
+++ b/tests/core/server_admission_test.cc
@@ -66,7 +66,7 @@
 
 class AdmissionOrderTest : public testing::TestWithParam<OrderRow> {};
 
-TEST_P(AdmissionOrderTest, IsByRankThenByTheEndOfPatience) {
+TEST_P(AdmissionOrderTest, IsByRankThenByTheTimeWhenItIsDue) {
   ServerAdmission admission;
   admission.setSlots(1);
   admission.offer({9, 0, kPatience}, TimePoint(0));
@@ -96,6 +96,10 @@
                              fromClient(2, 2, kPatience * 2), 2},
                     OrderRow{"AClientThatCanWaitBehindACall", fromClient(1, 2, kLongPatience),
                              call(2, 1, kPatience * 2), 2},
+                    OrderRow{"AShortCallBeforeALongClient",
+                             {1, 2, kPatience * 2, kPatience * 2, false, milliseconds(870)},
+                             {2, 1, kPatience * 4, kPatience * 4, true, milliseconds(55)},
+                             2},
                     OrderRow{"RankBeforePatienceAmongClients", fromClient(1, 2, kPatience * 2),
                              fromClient(2, 1, kLongPatience), 2}),
     [](const auto& info) { return std::string(info.param.name); });
