Sight: a digest names a request whatever its id, the end of a server is told from lost connections

Cause: the logs could not tell the hypotheses apart. Ids are new with each try, lines are limited, and the end of a server was no event. Change, with no change of what is sent where: each request carries a digest (method, host, path, tenant, first 64 KiB of the body) between daemons and into log lines; core/crash_evidence/server_end_watch tells the end of a server (all connections gone and the address refuses, or another instance there) from single lost answers and says what was under way: line server_ended, counters server_ends, ended_under_way, repeats_of_unknown. Planned ends are none (LocalServer::announcedEnd).

--- /dev/null
+++ b/core/crash_evidence/server_end_watch.cc
@@ -0,0 +1,71 @@
+#include "core/crash_evidence/server_end_watch.h"
+
+#include <algorithm>
+
+namespace ramppond {
+namespace {
+
+// The connections of a process end within 2 ms of each other (measured: 19 to
+// 34 requests); a daemon whose machine is slow reads them over a longer time.
+constexpr auto one_moment = milliseconds(200);
+// A server that was left goes on for as long as it takes to read of it.
+constexpr auto left_before = milliseconds(500);
+// Another instance may report itself from the address this much later.
+constexpr auto remembered = seconds(30);
+// As many as a server may be at work on, and some that were left.
+constexpr auto most_runs = std::size_t(1024);
+
+}  // namespace
+
+void server_end_watch::add(lost_run run) {
+  if (this->runs.size() >= most_runs) {
+    this->runs.pop_front();
+  }
+  this->runs.push_back(std::move(run));
+}
+
+void server_end_watch::on_lost(const std::string& instance_id, const request_digest& digest,
+                               TimePoint now) {
+  this->add({instance_id, digest, now, false});
+}
+
+void server_end_watch::on_left(const std::string& instance_id, const request_digest& digest,
+                               TimePoint now) {
+  this->add({instance_id, digest, now, true});
+}
+
+void server_end_watch::on_alive(TimePoint begun) {
+  while (!this->runs.empty() && this->runs.front().when <= begun) {
+    this->runs.pop_front();
+  }
+}
+
+auto server_end_watch::is_pending() const -> bool {
+  return std::any_of(this->runs.begin(), this->runs.end(), [](const auto& r) { return !r.left; });
+}
+
+auto server_end_watch::on_end(const std::string& instance_id, TimePoint now)
+    -> std::optional<ended_server> {
+  auto lost_last = std::optional<TimePoint>();
+  for (const auto& r : this->runs) {
+    const auto counts = !r.left && r.instance_id == instance_id && now - r.when < remembered;
+    lost_last = counts ? std::optional(r.when) : lost_last;
+  }
+  if (!lost_last) {
+    return std::nullopt;
+  }
+  auto ended = ended_server{instance_id, {}};
+  for (const auto& r : this->runs) {
+    const auto since = *lost_last - (r.left ? Duration(left_before) : Duration(one_moment));
+    if (r.instance_id == instance_id && r.when >= since) {
+      ended.under_way.push_back(r.digest);
+    }
+  }
+  this->runs.clear();
+  std::sort(ended.under_way.begin(), ended.under_way.end());
+  ended.under_way.erase(std::unique(ended.under_way.begin(), ended.under_way.end()),
+                        ended.under_way.end());
+  return ended;
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/crash_evidence/server_end_watch.h
@@ -0,0 +1,60 @@
+// Tells the end of a server from the loss of single connections, and which
+// requests it was at work on when it ended.
+//
+// A connection that ends without an answer says little: servers lose answers,
+// break them off and reset connections while they live. The end of a process
+// ends all its connections at once, and its address refuses new ones or another
+// instance reports itself from there. Only the daemon beside a server sees all
+// of that. A server that said that it leaves ends as planned. Pure, not thread
+// safe.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/crash_evidence/request_digest.h"
+#include "core/time.h"
+
+namespace ramppond {
+
+/// A server that ended without a word.
+struct ended_server {
+  std::string instance_id;
+  std::vector<request_digest> under_way;  // sorted, each once
+};
+
+class server_end_watch {
+ public:
+  /// The connection on which `instance_id` was at work on a request ended
+  /// before the answer did.
+  void on_lost(const std::string& instance_id, const request_digest& digest, TimePoint now);
+  /// Whoever had sent the request left before the answer: the server may have
+  /// been at work on it for a moment longer.
+  void on_left(const std::string& instance_id, const request_digest& digest, TimePoint now);
+  /// A request that was begun at `begun` was answered, or a connection that was
+  /// opened then stands: what was lost before was lost by a server that lives.
+  void on_alive(TimePoint begun);
+  /// The server that runs `instance_id` has ended: its address refuses
+  /// connections and none stands, or another instance is there. Nothing if no
+  /// request was lost with it.
+  auto on_end(const std::string& instance_id, TimePoint now) -> std::optional<ended_server>;
+
+  /// Whether requests were lost of which nobody knows yet if the server lives.
+  [[nodiscard]] auto is_pending() const -> bool;
+
+ private:
+  struct lost_run {
+    std::string instance_id;
+    request_digest digest;
+    TimePoint when{0};
+    bool left = false;
+  };
+  void add(lost_run run);
+
+  std::deque<lost_run> runs;
+};
+
+}  // namespace ramppond
--- a/core/local_server.cc
+++ b/core/local_server.cc
@@ -17,6 +17,7 @@
     return false;
   }
   past.sequence = heartbeat.sequence;
+  past.draining = heartbeat.draining;
   const bool same = known_ && current_.instance_id == heartbeat.instance_id;
   if (known_ && !same && !first && !mayReturn(heartbeat)) {
     return false;
@@ -66,6 +67,11 @@
   return established == 0 && onWrongInstance(instance_id);
 }
 
+bool LocalServer::announcedEnd(const std::string& instance_id) const {
+  const auto past = past_.find(instance_id);
+  return past != past_.end() && (past->second.left || past->second.draining);
+}
+
 FenceVerdict LocalServer::admit(const std::string& instance_id, const std::string& service,
                                 TimePoint now) const {
   if (!known_) {
--- a/core/local_server.h
+++ b/core/local_server.h
@@ -55,6 +55,8 @@
 
   [[nodiscard]] FenceVerdict admit(const std::string& instance_id, const std::string& service,
                                    TimePoint now) const;
+  /// Whether the instance said that it leaves: its end is planned.
+  [[nodiscard]] bool announcedEnd(const std::string& instance_id) const;
   [[nodiscard]] bool known() const { return known_; }
   [[nodiscard]] const ServerHeartbeat& heartbeat() const { return current_; }
   /// The record that the daemon tells; address, zone and numbers are the caller's to fill in.
@@ -64,6 +66,7 @@
   struct Past {
     std::uint64_t sequence = 0;
     bool left = false;
+    bool draining = false;
   };
   void forgetOldest();
   /// Whether an instance that gave way to the current one may be current again.
--- a/daemon/proxy/forwarded_answer.cc
+++ b/daemon/proxy/forwarded_answer.cc
@@ -184,6 +184,7 @@
   }
   logEvent(now.count(), context_.own_answers.event(),
            {{"request", exchange_->request().get(context_.api.headers().request_id)},
+            {"digest", digest_},
             {"status", std::to_string(status)},
             {"reason", reason},
             {"route", route_ == nullptr ? "" : route_->name},
--- a/daemon/proxy/forwarded_attempt.cc
+++ b/daemon/proxy/forwarded_attempt.cc
@@ -1,6 +1,7 @@
 // The attempts of a forwarded request: choice of a server, sending, repeating.
 #include <algorithm>
 
+#include "core/crash_evidence/request_digest.h"
 #include "core/patience.h"
 #include "daemon/proxy/forwarded_request.h"
 #include "daemon/proxy/peer_headers.h"
@@ -45,6 +46,16 @@
          timeLeft() > kLeastTimeForAttempt;
 }
 
+// Repeats hold the same body, so it is made once.
+void ForwardedRequest::makeDigest() {
+  if (!digest_.empty()) {
+    return;
+  }
+  const HttpHead& head = exchange_->request();
+  const std::string_view caller = tenant_ == nullptr ? std::string_view() : tenant_->name;
+  digest_ = format_digest(digest_of({head.method, head.get("Host"), head.target, caller, body_}));
+}
+
 void ForwardedRequest::attempt() {
   const TimePoint now = EventLoop::now();
   instance_ = context_.directory.choose(service_, route_->name, tried_, now);
@@ -61,6 +72,7 @@
     }
     return;
   }
+  makeDigest();
   tried_.insert(instance_->record.daemon_address);
   context_.counters.attempts += 1;
   own_answer_ = false;
@@ -70,6 +82,7 @@
   head.fields.push_back({std::string(kPeerInstance), instance_->record.instance_id});
   head.fields.push_back({std::string(kPeerService), service_});
   head.fields.push_back({std::string(kPeerRoute), route_->name});
+  head.fields.push_back({std::string(kPeerDigest), digest_});
   head.fields.push_back({std::string(kPeerPriority), std::to_string(rank_)});
   head.fields.push_back({std::string(kPeerPatienceMs), formatMilliseconds(patience)});
   if (is_call_) {
@@ -171,6 +184,7 @@
   if (context_.repeats.allow(now.count())) {
     logEvent(now.count(), context_.repeats.event(),
              {{"request", exchange_->request().get(context_.api.headers().request_id)},
+              {"digest", digest_},
               {"service", service_},
               {"after", reason}});
   }
@@ -200,6 +214,7 @@
 void ForwardedRequest::afterAttempt(AttemptEnd end, const std::string& reason) {
   noteAttempt(end);
   if (mayRepeat(end, arrivals_)) {
+    context_.counters.repeats_of_unknown += end == AttemptEnd::kUnknown ? 1 : 0;
     repeat(reason);
     return;
   }
--- a/daemon/proxy/forwarded_request.h
+++ b/daemon/proxy/forwarded_request.h
@@ -57,6 +57,7 @@
   bool shed(Duration wanted);
   void noteLoad(const HttpHead& head);
   void attempt();
+  void makeDigest();
   void send(HttpHead head);
   void onNotAdmitted();
   /// Whether the attempt under way cannot have reached a server: its end is still held back.
@@ -85,6 +86,7 @@
   std::uint32_t rank_ = 0;                    ///< See tenant_ranks.
   bool counted_by_quota_ = false;
   std::string service_;
+  std::string digest_;  ///< See kPeerDigest; made with the first attempt.
   std::shared_ptr<ClientExchange> upstream_;
   KnownInstance* instance_ = nullptr;  ///< Of the attempt under way.
   std::set<std::string> tried_;
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -62,6 +62,7 @@
   instance_id_ = head.get(kPeerInstance);
   service_ = head.get(kPeerService);
   route_ = head.get(kPeerRoute);
+  digest_ = parse_digest(head.get(kPeerDigest));
   const auto left = parseMilliseconds(head.find(context_.api.headers().deadline_ms));
   deadline_ = received_ + left.value_or(kDefaultTimeLeft);
   const std::string priority = head.get(kPeerPriority);
@@ -212,6 +213,7 @@
   if (context_.refusals.allow(now.count())) {
     logEvent(now.count(), context_.refusals.event(),
              {{"request", exchange_->request().get(id_header)},
+              {"digest", digest_ ? format_digest(*digest_) : std::string()},
               {"outcome", std::string(outcome)},
               {"reason", reason},
               {"instance", instance_id_},
@@ -298,6 +300,7 @@
   if (before == State::kRunning && upstream_ != nullptr) {
     const bool at_deadline = EventLoop::now() + kDeadlineMargin >= deadline_;
     upstream_->cancel();
+    noteLeft();
     finishServerWork(at_deadline ? ServerOutcome::kNoAnswer : ServerOutcome::kWithdrawn);
   }
 }
@@ -355,11 +358,27 @@
     done();
     exchange->finish();
   }
+  context_.ends.on_alive(begun_);
   finishServerWork(outcome_);
 }
 
+void InboundRequest::noteLeft() {
+  if (digest_) {
+    context_.ends.on_left(instance_id_, *digest_, EventLoop::now());
+  }
+}
+
+void InboundRequest::noteLost() {
+  if (digest_) {
+    context_.ends.on_lost(instance_id_, *digest_, EventLoop::now());
+  }
+}
+
 void InboundRequest::onServerRefusedConnection() {
   const std::size_t established = context_.server_pool.established();
+  if (established == 0) {
+    context_.noteServerEnd(instance_id_);
+  }
   if (context_.server.onConnectionRefused(instance_id_, established)) {
     context_.reportServer();
   }
@@ -372,6 +391,9 @@
   }
   const auto self = shared_from_this();
   context_.counters.server_failures += 1;
+  if (failure == ClientFailure::kNoAnswer || failure == ClientFailure::kBrokenAnswer) {
+    noteLost();
+  }
   if (failure == ClientFailure::kNoSocket) {
     refuse(kOutcomeBusy, "no socket", kUnavailable);
   } else if (failure == ClientFailure::kNotConnected) {
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -57,6 +57,9 @@
   /// Adds what the daemon that sent the request is told of load here and below.
   void addLoad(HttpHead& head);
   void onServerRefusedConnection();
+  /// It may go on for a moment at a server that is not waited for any more.
+  void noteLeft();
+  void noteLost();
   void done();
 
   ProxyContext& context_;
@@ -66,6 +69,7 @@
   std::string instance_id_;
   std::string service_;
   std::string route_;
+  std::optional<request_digest> digest_;
   AdmissionRequest admission_;
   TimePoint received_{0};
   TimePoint deadline_{0};
--- a/daemon/proxy/peer_headers.h
+++ b/daemon/proxy/peer_headers.h
@@ -34,6 +34,8 @@
 constexpr std::string_view kPeerOutcome = "Ramppond-Outcome";
 /// Answers: the connection ends, and whatever request comes next on it is not read.
 constexpr std::string_view kPeerFarewell = "Ramppond-Farewell";
+/// Requests: the digest of the request (core/crash_evidence/request_digest.h).
+constexpr std::string_view kPeerDigest = "Ramppond-Digest";
 /// Requests: the name of the route.
 constexpr std::string_view kPeerRoute = "Ramppond-Route";
 /// Answers: overload at the services that requests of this route need further down, "service=level
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -160,6 +160,24 @@
   }
 }
 
+void ProxyContext::noteServerEnd(const std::string& instance_id) {
+  const TimePoint now = EventLoop::now();
+  const auto ended = ends.on_end(instance_id, now);
+  if (!ended || server.announcedEnd(instance_id)) {
+    return;
+  }
+  counters.server_ends += 1;
+  counters.ended_under_way += ended->under_way.size();
+  std::string digests;
+  for (const request_digest& digest : ended->under_way) {
+    digests += (digests.empty() ? "" : " ") + format_digest(digest);
+  }
+  logEvent(now.count(), "server_ended",
+           {{"instance", ended->instance_id},
+            {"under_way", std::to_string(ended->under_way.size())},
+            {"digests", digests}});
+}
+
 void ProxyContext::reportServer() {
   if (server.known() && server.heartbeat().instance_id != judged_instance) {
     judged_instance = server.heartbeat().instance_id;
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -10,6 +10,7 @@
 #include "common/event_log.h"
 #include "core/call_attribution.h"
 #include "core/circuit_breaker.h"
+#include "core/crash_evidence/server_end_watch.h"
 #include "core/external_api.h"
 #include "core/instance_directory.h"
 #include "core/local_server.h"
@@ -57,13 +58,16 @@
   std::uint64_t broken_off = 0;
   std::uint64_t attempts = 0;
   std::uint64_t repeats = 0;
-  std::uint64_t repeats_unpaid = 0;  ///< Not made for want of budget.
+  std::uint64_t repeats_unpaid = 0;      ///< Not made for want of budget.
+  std::uint64_t repeats_of_unknown = 0;  ///< Of repeats: an earlier attempt may have run.
   std::uint64_t inbound = 0;
   std::uint64_t inbound_fenced = 0;
   std::uint64_t inbound_refused = 0;
   std::uint64_t inbound_broken = 0;  ///< Refused since the server fails its requests.
   std::uint64_t server_not_run = 0;
   std::uint64_t server_failures = 0;
+  std::uint64_t server_ends = 0;      ///< Of the server beside it, without a word.
+  std::uint64_t ended_under_way = 0;  ///< Requests that it was at work on then.
   std::uint64_t pings = 0;
   std::uint64_t silent_peers = 0;  ///< Pings that were not answered in time.
 };
@@ -95,6 +99,8 @@
   [[nodiscard]] std::uint32_t ranksBelow(std::uint32_t rank) const;
   /// Overload at the services that requests of `route` need when they run at the own server.
   [[nodiscard]] std::vector<service_overload> overloadBelow(const std::string& route) const;
+  /// The server that ran `instance_id` is gone without a word.
+  void noteServerEnd(const std::string& instance_id);
   /// What the end of a request tells the breaker.
   void noteServerOutcome(ServerOutcome outcome, bool reused_connection);
   /// The load of the own server, as told with the answer to a request of `route`.
@@ -114,6 +120,7 @@
   service_times times;      ///< Of the server beside it.
   circuit_breaker breaker;  ///< Of the server beside it.
   call_attribution calls;   ///< Of the server beside it.
+  server_end_watch ends;    ///< Likewise.
   overload_below overload;  ///< By the routes of requests that begin on this machine.
   HttpClientPool server_pool;
   std::map<std::string, std::unique_ptr<HttpClientPool>> peers;
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -178,7 +178,11 @@
     answer(exchange, kBadRequest, "{}");
     return;
   }
+  const std::string before = context_.server.heartbeat().instance_id;
   if (context_.server.onHeartbeat(*heartbeat.value, now)) {
+    if (before != context_.server.heartbeat().instance_id) {
+      context_.noteServerEnd(before);
+    }
     logEvent(now.count(), "server",
              {{"instance", call.instance_id},
               {"state", heartbeat.value->draining ? "draining" : "ready"}});
@@ -403,12 +407,15 @@
             {"attempts", text(counters.attempts)},
             {"repeats", text(counters.repeats)},
             {"repeats_unpaid", text(counters.repeats_unpaid)},
+            {"repeats_of_unknown", text(counters.repeats_of_unknown)},
             {"inbound", text(counters.inbound)},
             {"inbound_fenced", text(counters.inbound_fenced)},
             {"inbound_refused", text(counters.inbound_refused)},
             {"inbound_broken", text(counters.inbound_broken)},
             {"server_not_run", text(counters.server_not_run)},
             {"server_failures", text(counters.server_failures)},
+            {"server_ends", text(counters.server_ends)},
+            {"ended_under_way", text(counters.ended_under_way)},
             {"pings", text(counters.pings)},
             {"silent_peers", text(counters.silent_peers)},
             {"server_connections", text(context_.server_pool.counters().connections_opened)},
--- /dev/null
+++ b/tests/core/crash_evidence/server_end_watch_test.cc
@@ -0,0 +1,69 @@
+#include "core/crash_evidence/server_end_watch.h"
+
+#include <gtest/gtest.h>
+
+namespace ramppond {
+namespace {
+
+constexpr auto first = request_digest{1, 1};
+constexpr auto second = request_digest{2, 2};
+constexpr auto third = request_digest{3, 3};
+
+class watched_server : public testing::Test {
+ protected:
+  server_end_watch watch;
+  TimePoint now = seconds(100);
+};
+
+TEST_F(watched_server, ends_with_all_that_was_lost_in_one_moment) {
+  this->watch.on_lost("i", second, this->now);
+  this->watch.on_lost("i", first, this->now + milliseconds(2));
+  this->watch.on_lost("i", first, this->now + milliseconds(3));
+  EXPECT_TRUE(this->watch.is_pending());
+  const auto ended = this->watch.on_end("i", this->now + milliseconds(10));
+  ASSERT_TRUE(ended);
+  EXPECT_EQ(ended->instance_id, "i");
+  EXPECT_EQ(ended->under_way, (std::vector<request_digest>{first, second}));
+  EXPECT_FALSE(this->watch.is_pending());
+}
+
+TEST_F(watched_server, did_not_end_with_what_it_had_lost_long_before) {
+  this->watch.on_lost("i", first, this->now);
+  this->watch.on_lost("i", second, this->now + seconds(1));
+  const auto ended = this->watch.on_end("i", this->now + seconds(1));
+  ASSERT_TRUE(ended);
+  EXPECT_EQ(ended->under_way, std::vector<request_digest>{second});
+}
+
+TEST_F(watched_server, lives_if_it_answers_what_was_begun_after_a_loss) {
+  this->watch.on_lost("i", first, this->now);
+  this->watch.on_alive(this->now - milliseconds(5));  // begun before: the answer was on its way
+  EXPECT_TRUE(this->watch.is_pending());
+  this->watch.on_alive(this->now + milliseconds(5));
+  EXPECT_FALSE(this->watch.is_pending());
+  EXPECT_FALSE(this->watch.on_end("i", this->now + seconds(1)));
+}
+
+TEST_F(watched_server, may_still_be_at_work_on_what_was_left_just_before) {
+  this->watch.on_left("i", first, this->now - seconds(2));
+  this->watch.on_left("i", second, this->now - milliseconds(400));
+  EXPECT_FALSE(this->watch.is_pending());
+  this->watch.on_lost("i", third, this->now);
+  const auto ended = this->watch.on_end("i", this->now + milliseconds(1));
+  ASSERT_TRUE(ended);
+  EXPECT_EQ(ended->under_way, (std::vector<request_digest>{second, third}));
+}
+
+TEST_F(watched_server, that_ends_at_rest_has_no_part_in_it) {
+  this->watch.on_left("i", first, this->now);
+  EXPECT_FALSE(this->watch.on_end("i", this->now));
+}
+
+TEST_F(watched_server, is_not_taken_for_a_former_one) {
+  this->watch.on_lost("i", first, this->now);
+  EXPECT_FALSE(this->watch.on_end("j", this->now));
+  EXPECT_TRUE(this->watch.on_end("i", this->now));
+}
+
+}  // namespace
+}  // namespace ramppond
