Requests that end servers are known again, by all daemons beside the servers of a service

Cause: the end of a server was held against the server only; each try and each repeat was new to everybody. Ruled out: overload (servers end with a single request under way, digests the same at each end). Change: the daemon beside a server tells what was under way when it ended, by digest, through the control members to the daemons of the same service only. A request that was under way at an end runs alone; if that server ends too it is barred (503 with the time that the bar has left), which explains the ends and clears the bystanders. Good ends clear a request. A probe tells the end of a server when no connection stands.

--- a/core/circuit_breaker.cc
+++ b/core/circuit_breaker.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/overloaded.h"
+
 namespace ramppond {
 namespace {
 
@@ -16,13 +18,6 @@
 // this.
 constexpr auto trial_time = seconds(1);
 
-template <class... Visitors>
-struct overloaded : Visitors... {
-  using Visitors::operator()...;
-};
-template <class... Visitors>
-overloaded(Visitors...) -> overloaded<Visitors...>;
-
 }  // namespace
 
 auto circuit_breaker::admit(bool repeatable, TimePoint now) -> bool {
--- a/core/control_core.cc
+++ b/core/control_core.cc
@@ -97,7 +97,7 @@
       onMemberChange(token, request);
       return;
     case ControlRequestType::kSessions:
-      onSessions(token, request);
+      onSessions(token, request, now);
       return;
   }
   answerError(token, ErrorKind::kMalformedRequest, "unknown type of request");
@@ -260,6 +260,7 @@
     poll.traffic_index = state_.traffic().logIndex();
     poll.registry_epoch = known.epoch;
     poll.registry_counter = known.counter;
+    poll.evidence_counter = known.evidence_counter;
     pull.request.proxy_poll = encode(poll);
     session_pulls_.emplace(pull.request_id, member.address);
     member_requests_.push_back(std::move(pull));
@@ -294,10 +295,13 @@
   if (!news) {
     return;
   }
-  known = {news->registry_epoch, news->registry_counter};
+  known = {news->registry_epoch, news->registry_counter, news->evidence_counter};
   for (const InstanceRecord& record : news->instances) {
     instances_.offer(record);
   }
+  for (const instance_evidence& evidence : news->evidence) {
+    evidence_.offer(evidence, now);
+  }
 }
 
 ControlWork ControlCore::take(TimePoint now) {
--- a/core/control_core.h
+++ b/core/control_core.h
@@ -13,6 +13,7 @@
 
 #include "core/control_messages.h"
 #include "core/control_state.h"
+#include "core/crash_evidence/evidence_registry.h"
 #include "core/instance_registry.h"
 #include "core/proxy_messages.h"
 #include "core/raft.h"
@@ -122,6 +123,7 @@
   struct KnownRegistry {
     std::uint64_t epoch = 0;
     std::uint64_t counter = 0;
+    std::uint64_t evidence_counter = 0;
   };
   struct Joiner {
     Member member;
@@ -139,7 +141,7 @@
   void onJoin(ControlToken token, const ControlRequest& request, TimePoint now);
   void changeMembersIfDue(TimePoint now);
   void onProxyPoll(ControlToken token, const ControlRequest& request, TimePoint now);
-  ProxyNews proxyNews(const ProxyPoll& poll);
+  ProxyNews proxyNews(const ProxyPoll& poll, TimePoint now);
   void onQuotaReport(ControlToken token, const ControlRequest& request, TimePoint now);
   void followLimits(TimePoint now);
   void proveStateForPolls(TimePoint now);
@@ -150,7 +152,7 @@
   void answerProxyPoll(ControlToken token, const HeldProxyPoll& held, TimePoint now);
   void answerHeldProxyPolls(TimePoint now);
   const std::string& encodedTraffic();
-  void onSessions(ControlToken token, const ControlRequest& request);
+  void onSessions(ControlToken token, const ControlRequest& request, TimePoint now);
   void requestRead(ControlToken token, const ControlRequest& request);
   void answerRead(std::uint64_t read_id, bool ready);
   std::optional<Snapshot> snapshotIfDue();
@@ -188,6 +190,7 @@
   std::map<std::string, std::uint64_t> pulled_counters_;           ///< Address to sessions counter.
   std::map<std::string, KnownRegistry> pulled_registries_;
   InstanceRegistry instances_;
+  evidence_registry evidence_;
   std::map<ControlToken, HeldProxyPoll> proxy_polls_;
   std::vector<Joiner> joiners_;
   TimePoint next_member_change_{0};
--- a/core/control_members.cc
+++ b/core/control_members.cc
@@ -44,13 +44,13 @@
   addProposal(token, raft_.proposeMembership(membership));
 }
 
-void ControlCore::onSessions(ControlToken token, const ControlRequest& request) {
+void ControlCore::onSessions(ControlToken token, const ControlRequest& request, TimePoint now) {
   ControlReply reply;
   reply.sessions = registry_.sessionsSince(request.sessions_since);
   reply.sessions_counter = registry_.sessionsCounter();
   const auto poll = decode<ProxyPoll>(request.proxy_poll);
   if (poll) {
-    reply.proxy_news = encode(proxyNews(*poll));
+    reply.proxy_news = encode(proxyNews(*poll, now));
   }
   answer(token, std::move(reply));
 }
--- a/core/control_proxy_polls.cc
+++ b/core/control_proxy_polls.cc
@@ -23,6 +23,9 @@
   if (poll->has_self) {
     instances_.offer(poll->self);
   }
+  for (const instance_evidence& evidence : poll->evidence) {
+    evidence_.offer(evidence, now);
+  }
   HeldProxyPoll held;
   held.poll = *poll;
   held.received = now;
@@ -54,6 +57,9 @@
   if (own != nullptr && own->isNewerThan(poll.self)) {
     return true;
   }
+  if (poll.has_self && evidence_.has_changes(poll.evidence_counter, poll.evidence_service)) {
+    return true;
+  }
   return poll.registry_counter < instances_.counter() &&
          now - held.received >= options_.instance_news_spacing;
 }
@@ -102,7 +108,7 @@
   return encoded_traffic_;
 }
 
-ProxyNews ControlCore::proxyNews(const ProxyPoll& poll) {
+ProxyNews ControlCore::proxyNews(const ProxyPoll& poll, TimePoint now) {
   ProxyNews news;
   if (poll.traffic_index < state_.traffic().logIndex()) {
     news.traffic_index = state_.traffic().logIndex();
@@ -112,6 +118,12 @@
   news.registry_epoch = options_.registry_epoch;
   news.registry_counter = instances_.counter();
   news.instances = instances_.changesSince(knows_this_member ? poll.registry_counter : 0);
+  // Members are told all evidence, a daemon that of its server's service.
+  news.evidence_counter = evidence_.counter();
+  if (!poll.has_self || !poll.evidence_service.empty()) {
+    const std::uint64_t since = knows_this_member ? poll.evidence_counter : 0;
+    news.evidence = evidence_.changes_since(since, poll.evidence_service, now);
+  }
   for (const Member& member : raft_.membership().members) {
     news.member_addresses.push_back(member.address);
   }
@@ -120,7 +132,7 @@
 
 void ControlCore::answerProxyPoll(ControlToken token, const HeldProxyPoll& held, TimePoint now) {
   const ProxyPoll& poll = held.poll;
-  ProxyNews news = proxyNews(poll);
+  ProxyNews news = proxyNews(poll, now);
   const InstanceRecord* own = poll.has_self ? instances_.find(poll.self.daemon_address) : nullptr;
   if (own != nullptr && own->isNewerThan(poll.self)) {
     news.instances.push_back(*own);
--- /dev/null
+++ b/core/crash_evidence/evidence_registry.cc
@@ -0,0 +1,80 @@
+#include "core/crash_evidence/evidence_registry.h"
+
+namespace ramppond {
+namespace {
+
+// Of one service; three ends prove a fault, and servers that end all the time
+// for another reason shall not push those three out at once.
+constexpr auto most_of_service = std::size_t(64);
+// Of all: 4 KB each at the most, 8 MB.
+constexpr auto most_records = std::size_t(2048);
+
+}  // namespace
+
+auto evidence_registry::offer(const instance_evidence& evidence, TimePoint now) -> bool {
+  const auto found = this->records.find(evidence.instance_id);
+  const auto known = found != this->records.end();
+  if (evidence.age >= evidence_lifetime || evidence.age < Duration(0) ||
+      (known && evidence.revision <= found->second.evidence.revision)) {
+    return false;
+  }
+  if (known) {
+    this->drop(evidence.instance_id);
+  }
+  this->make_room(evidence.service, now);
+  this->taken += 1;
+  auto& held = this->records[evidence.instance_id];
+  held = {evidence, now - evidence.age, this->taken};
+  this->by_service[evidence.service][this->taken] = evidence.instance_id;
+  this->changes[this->taken] = evidence.instance_id;
+  return true;
+}
+
+void evidence_registry::drop(const std::string& instance_id) {
+  const auto found = this->records.find(instance_id);
+  const auto of_service = this->by_service.find(found->second.evidence.service);
+  of_service->second.erase(found->second.changed);
+  if (of_service->second.empty()) {
+    this->by_service.erase(of_service);
+  }
+  this->changes.erase(found->second.changed);
+  this->records.erase(found);
+}
+
+// The oldest give way, and those that have aged.
+void evidence_registry::make_room(const std::string& service, TimePoint now) {
+  const auto is_old = [&](const std::string& instance_id) {
+    return now - this->records.at(instance_id).since >= evidence_lifetime;
+  };
+  while (!this->changes.empty() &&
+         (this->records.size() >= most_records || is_old(this->changes.begin()->second))) {
+    this->drop(std::string(this->changes.begin()->second));
+  }
+  const auto of_service = this->by_service.find(service);
+  if (of_service != this->by_service.end() && of_service->second.size() >= most_of_service) {
+    this->drop(std::string(of_service->second.begin()->second));
+  }
+}
+
+auto evidence_registry::changes_since(std::uint64_t since, const std::string& service,
+                                      TimePoint now) const -> std::vector<instance_evidence> {
+  auto found = std::vector<instance_evidence>();
+  const auto of_service = this->by_service.find(service);
+  if (!service.empty() && of_service == this->by_service.end()) {
+    return found;
+  }
+  const auto& chosen = service.empty() ? this->changes : of_service->second;
+  for (auto change = chosen.upper_bound(since); change != chosen.end(); ++change) {
+    const auto& held = this->records.at(change->second);
+    found.push_back(held.evidence);
+    found.back().age = now - held.since;
+  }
+  return found;
+}
+
+auto evidence_registry::has_changes(std::uint64_t since, const std::string& service) const -> bool {
+  const auto of_service = this->by_service.find(service);
+  return of_service != this->by_service.end() && of_service->second.rbegin()->first > since;
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/crash_evidence/evidence_registry.h
@@ -0,0 +1,52 @@
+// The evidence of all servers, as control members and daemons hold it: the
+// newest record of each instance, until it has aged.
+//
+// Evidence concerns the daemons beside the servers of one service, so it is
+// handed out by service: what it costs a daemon doesn't grow with the fleet. A
+// bound on records keeps servers that end all the time from filling a member.
+// Pure, not thread safe.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/crash_evidence/instance_evidence.h"
+#include "core/time.h"
+
+namespace ramppond {
+
+class evidence_registry {
+ public:
+  /// Takes a record that is newer than the one held for its instance, and not
+  /// too old. Returns whether it was taken.
+  auto offer(const instance_evidence& evidence, TimePoint now) -> bool;
+
+  /// Records of `service` (of all for an empty name) taken after counter() had
+  /// the value `since`, with their age at `now`.
+  [[nodiscard]] auto changes_since(std::uint64_t since, const std::string& service,
+                                   TimePoint now) const -> std::vector<instance_evidence>;
+  /// Whether changes_since() would give any.
+  [[nodiscard]] auto has_changes(std::uint64_t since, const std::string& service) const -> bool;
+
+  /// Grows by one with each record taken.
+  [[nodiscard]] auto counter() const -> std::uint64_t { return this->taken; }
+  [[nodiscard]] auto size() const -> std::size_t { return this->records.size(); }
+
+ private:
+  struct held_record {
+    instance_evidence evidence;
+    TimePoint since{0};  // its age counts from here
+    std::uint64_t changed = 0;
+  };
+  void drop(const std::string& instance_id);
+  void make_room(const std::string& service, TimePoint now);
+
+  std::map<std::string, held_record> records;                              // by instance
+  std::map<std::string, std::map<std::uint64_t, std::string>> by_service;  // change to instance
+  std::map<std::uint64_t, std::string> changes;                            // of all services
+  std::uint64_t taken = 0;
+};
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/crash_evidence/isolation_lane.cc
@@ -0,0 +1,57 @@
+#include "core/crash_evidence/isolation_lane.h"
+
+#include <algorithm>
+
+namespace ramppond {
+
+auto isolation_lane::enter(request_id id, TimePoint give_up) -> bool {
+  if (!this->holder && this->queue.empty()) {
+    this->holder = id;
+    return true;
+  }
+  this->queue.push_back({id, give_up});
+  return false;
+}
+
+void isolation_lane::leave(request_id id) {
+  if (this->holder == id) {
+    this->holder.reset();
+    return;
+  }
+  this->queue.erase(std::remove_if(this->queue.begin(), this->queue.end(),
+                                   [&](const waiter& w) { return w.id == id; }),
+                    this->queue.end());
+}
+
+auto isolation_lane::take_next() -> std::optional<request_id> {
+  if (this->holder || this->queue.empty()) {
+    return std::nullopt;
+  }
+  this->holder = this->queue.front().id;
+  this->queue.pop_front();
+  return this->holder;
+}
+
+auto isolation_lane::take_expired(TimePoint now) -> std::vector<request_id> {
+  auto expired = std::vector<request_id>();
+  auto kept = std::deque<waiter>();
+  for (const auto& w : this->queue) {
+    if (w.give_up <= now) {
+      expired.push_back(w.id);
+    } else {
+      kept.push_back(w);
+    }
+  }
+  this->queue = std::move(kept);
+  return expired;
+}
+
+auto isolation_lane::next_expiry() const -> std::optional<TimePoint> {
+  auto next = std::optional<TimePoint>();
+  for (const auto& w : this->queue) {
+    next = std::min(next.value_or(w.give_up), w.give_up);
+  }
+  return next;
+}
+
+}  // namespace ramppond
--- /dev/null
+++ b/core/crash_evidence/request_verdicts.h
@@ -0,0 +1,98 @@
+// What the ends of servers say of a request: may it run, and how?
+//
+// The end of a server takes many requests with it and one of them is to blame.
+// So a request that was under way at one or two ends is suspected: it runs while
+// no other suspected request does, and if that server ends too, this one did it.
+// It is then barred, and the ends at which it was under way are explained, which
+// clears whatever else was under way there. One that was under way at three ends
+// or more has its trial at one server of the service only, since each more end
+// costs everybody. A good end clears a request. All daemons beside the servers
+// of a service come to the same verdict from the same records, in whatever order
+// those come. A bar ends by itself, and one trial decides again.
+// Pure, not thread safe.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+#include "core/crash_evidence/instance_evidence.h"
+#include "core/time.h"
+
+namespace ramppond {
+
+/// Nothing is held against it.
+struct unsuspected {};
+/// It runs while no other suspected request does.
+struct suspected {
+  std::uint32_t ends;  // that nothing explains
+};
+/// Likewise, at one server of the service only.
+struct on_trial {};
+/// It runs nowhere.
+struct barred {
+  TimePoint until;
+};
+using standing = std::variant<unsuspected, suspected, on_trial, barred>;
+
+/// A request that was found to end servers, with the evidence.
+struct bar_verdict {
+  request_digest digest;
+  std::vector<std::string> instances;  // that ended
+  Duration length{0};
+};
+
+class request_verdicts {
+ public:
+  /// Takes a record; one that is not newer than what is known of its instance
+  /// changes nothing.
+  void on_evidence(const instance_evidence& evidence, TimePoint now);
+  /// A daemon says that the last server of this request was lost to it; the
+  /// record of that end may still be on its way.
+  void on_hearsay(const request_digest& digest, TimePoint now);
+  /// It ended well at the own server. Returns whether others should know.
+  auto on_good_end(const request_digest& digest, TimePoint now) -> bool;
+
+  [[nodiscard]] auto of(const request_digest& digest, TimePoint now) const -> standing;
+  [[nodiscard]] auto is_suspect(const request_digest& digest, TimePoint now) const -> bool;
+
+  /// Verdicts found since the last call.
+  auto take_bars() -> std::vector<bar_verdict>;
+  /// Requests that were barred and then ended well: verdicts that were wrong.
+  [[nodiscard]] auto withdrawn() const -> std::uint64_t { return this->bars_withdrawn; }
+  [[nodiscard]] auto size() const -> std::size_t { return this->suspects.size(); }
+
+ private:
+  struct suspect {
+    std::vector<std::string> ends;  // instances at whose end it was under way
+    bool alone = false;             // at one of them, among the suspected
+    std::optional<TimePoint> hearsay;
+    std::optional<TimePoint> barred_until;
+    Duration bar_length{0};
+    std::optional<TimePoint> cleared;
+  };
+  struct instance_end {
+    std::uint64_t revision = 0;
+    TimePoint when{0};
+    std::vector<request_digest> under_way;
+    std::optional<request_digest> blamed;  // explains the end
+  };
+  void add_end(const instance_evidence& evidence, TimePoint now);
+  void remove_end(const std::string& instance_id);
+  void judge(const request_digest& digest, suspect& judged, TimePoint now);
+  void clear(const request_digest& digest, TimePoint now);
+  void make_room(TimePoint now);
+  [[nodiscard]] auto unexplained(const suspect& judged, TimePoint now) const -> std::uint32_t;
+
+  std::unordered_map<request_digest, suspect> suspects;
+  std::map<std::string, instance_end> ends;  // by instance
+  std::vector<bar_verdict> bars;
+  std::uint64_t bars_withdrawn = 0;
+};
+
+}  // namespace ramppond
--- a/core/instance_directory.cc
+++ b/core/instance_directory.cc
@@ -91,6 +91,20 @@
   return found != by_service_.end() && !found->second.empty();
 }
 
+std::vector<std::string> InstanceDirectory::daemonsOf(const std::string& service) const {
+  std::vector<std::string> daemons;
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) {
+    return daemons;
+  }
+  for (const KnownInstance* instance : found->second) {
+    if (instance->record.state == InstanceState::kReady) {
+      daemons.push_back(instance->record.daemon_address);
+    }
+  }
+  return daemons;
+}
+
 double InstanceDirectory::utilization(const KnownInstance& instance) {
   const double told = instance.load.limit;
   const double limit = told > 0 ? told : std::max<double>(instance.record.slots, kAssumedLimit);
--- a/core/instance_directory.h
+++ b/core/instance_directory.h
@@ -68,6 +68,8 @@
                         const std::set<std::string>& excluded, TimePoint now);
   /// Daemons of which there is a record.
   [[nodiscard]] std::size_t size() const { return by_daemon_.size(); }
+  /// The daemons beside ready servers of `service`.
+  [[nodiscard]] std::vector<std::string> daemonsOf(const std::string& service) const;
   [[nodiscard]] bool hasInstances(const std::string& service) const;
 
   void onSent(KnownInstance& instance, TimePoint now);
--- a/core/proxy_messages.h
+++ b/core/proxy_messages.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "core/crash_evidence/instance_evidence.h"
 #include "core/instance_registry.h"
 #include "core/traffic_configuration.h"
 
@@ -15,12 +16,15 @@
 /// other the same way, without a record of their own.
 struct ProxyPoll {
   bool has_self = false;
-  InstanceRecord self;                 ///< The asking daemon's own record.
-  std::uint64_t traffic_index = 0;     ///< Log index of the configuration held; 0 for none.
-  std::uint64_t registry_epoch = 0;    ///< Of the member whose counter follows.
-  std::uint64_t registry_counter = 0;  ///< That member's records are known up to here.
-  Duration hold{0};                    ///< How long the answer may wait for news.
-  bool wants_proof = false;            ///< The answer is to be confirmed by a quorum.
+  InstanceRecord self;                      ///< The asking daemon's own record.
+  std::uint64_t traffic_index = 0;          ///< Log index of the configuration held; 0 for none.
+  std::uint64_t registry_epoch = 0;         ///< Of the member whose counter follows.
+  std::uint64_t registry_counter = 0;       ///< That member's records are known up to here.
+  Duration hold{0};                         ///< How long the answer may wait for news.
+  bool wants_proof = false;                 ///< The answer is to be confirmed by a quorum.
+  std::vector<instance_evidence> evidence;  ///< That the member may not know.
+  std::string evidence_service;             ///< A daemon is told the evidence of this service.
+  std::uint64_t evidence_counter = 0;       ///< Known up to here, as registry_counter is.
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
@@ -31,6 +35,9 @@
     visitor(5, registry_counter);
     visitor(6, hold);
     visitor(7, wants_proof);
+    visitor(8, evidence);
+    visitor(9, evidence_service);
+    visitor(10, evidence_counter);
   }
 };
 
@@ -41,6 +48,8 @@
   std::uint64_t registry_counter = 0;
   std::vector<InstanceRecord> instances;
   std::vector<std::string> member_addresses;  ///< Control members, HOST:PORT.
+  std::uint64_t evidence_counter = 0;
+  std::vector<instance_evidence> evidence;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
@@ -50,6 +59,8 @@
     visitor(4, registry_counter);
     visitor(5, instances);
     visitor(6, member_addresses);
+    visitor(7, evidence_counter);
+    visitor(8, evidence);
   }
 };
 
--- a/core/proxy_session.cc
+++ b/core/proxy_session.cc
@@ -27,6 +27,10 @@
 }
 
 void ProxySession::setOwnRecord(InstanceRecord record) {
+  if (!record.service.empty() && record.service != evidence_service_) {
+    evidence_service_ = record.service;
+    evidence_counter_ = 0;
+  }
   record_ = std::move(record);
   revision_ += 1;
   record_.incarnation = incarnation_;
@@ -35,6 +39,10 @@
   record_untold_ = true;
 }
 
+void ProxySession::tellEvidence(const instance_evidence& evidence, TimePoint now) {
+  evidence_untold_ = evidence_.offer(evidence, now) || evidence_untold_;
+}
+
 void ProxySession::setSeeds(std::vector<std::string> seeds) {
   options_.seeds = std::move(seeds);
   for (const std::string& seed : options_.seeds) {
@@ -50,7 +58,8 @@
 
 std::optional<OutgoingPoll> ProxySession::takePoll(TimePoint now) {
   const bool under_way = poll_id_ != 0;
-  if (members_.empty() || (under_way && !record_untold_) || (!under_way && now < next_poll_)) {
+  if (members_.empty() || (under_way && !record_untold_ && !evidence_untold_) ||
+      (!under_way && now < next_poll_)) {
     return std::nullopt;
   }
   ProxyPoll poll;
@@ -60,6 +69,11 @@
   poll.registry_epoch = registry_epoch_;
   poll.registry_counter = registry_counter_;
   poll.wants_proof = options_.wants_proof;
+  poll.evidence = evidence_.changes_since(evidence_told_, std::string(), now);
+  poll.evidence_service = evidence_service_;
+  poll.evidence_counter = evidence_counter_;
+  evidence_telling_ = evidence_.counter();
+  evidence_untold_ = false;
   // After a failure the first question is what was missed, not what comes next.
   poll.hold = failures_ == 0 ? options_.hold : Duration(0);
   poll.hold = hasTraffic() ? poll.hold : options_.first_hold;
@@ -94,6 +108,13 @@
     return false;
   }
   onLeaderNamed(reply->leader_address);
+  const bool member_restarted = registry_epoch_ != 0 && news->registry_epoch != registry_epoch_;
+  if (member_restarted) {
+    evidence_told_ = 0;
+  } else if (current) {
+    evidence_told_ = evidence_telling_;
+  }
+  takeEvidenceNews(*news, now);
   takeNews(*news, reply->authoritative);
   const bool as_new_as_the_answer = traffic_index_ >= news->traffic_index;
   return current && takeCurrentAnswer(*reply, now) && as_new_as_the_answer;
@@ -149,6 +170,18 @@
   }
 }
 
+// What a member tells it knows: that is not told back.
+void ProxySession::takeEvidenceNews(const ProxyNews& news, TimePoint now) {
+  evidence_counter_ = news.evidence_counter;
+  const bool all_told = evidence_told_ == evidence_.counter();
+  for (const instance_evidence& evidence : news.evidence) {
+    if (evidence_.offer(evidence, now)) {
+      evidence_news_.push_back(evidence);
+    }
+  }
+  evidence_told_ = all_told ? evidence_.counter() : evidence_told_;
+}
+
 // An earlier process of this daemon used a number as high as ours (its clock ran ahead): go above.
 void ProxySession::outdateOwnRecord(const InstanceRecord& known) {
   if (!known.isNewerThan(record_)) {
@@ -162,6 +195,7 @@
   upstream_.clear();
   position_ += 1;
   registry_epoch_ = 0;
+  evidence_told_ = 0;
   const std::uint32_t doublings = std::min(failures_ / 3, kMaximumDoublings);
   failures_ += 1;
   const auto jitter = Duration(static_cast<std::int64_t>(random_.below(kBackoffSpreadUs)));
--- a/core/proxy_session.h
+++ b/core/proxy_session.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/control_messages.h"
+#include "core/crash_evidence/evidence_registry.h"
 #include "core/instance_registry.h"
 #include "core/proxy_messages.h"
 #include "core/random.h"
@@ -45,6 +46,8 @@
 
   /// The server beside this daemon changed: tells the control group at once.
   void setOwnRecord(InstanceRecord record);
+  /// Tells the control group at once what the server beside this daemon shows of requests.
+  void tellEvidence(const instance_evidence& evidence, TimePoint now);
   void setSeeds(std::vector<std::string> seeds);
 
   /// The next poll, if one is due. A poll under way is superseded when the own record changed.
@@ -63,6 +66,8 @@
   [[nodiscard]] std::uint64_t trafficIndex() const { return traffic_index_; }
   bool takeTrafficChanged() { return std::exchange(traffic_changed_, false); }
   std::vector<InstanceRecord> takeInstances() { return std::exchange(news_, {}); }
+  /// Evidence of other daemons beside servers of the same service.
+  std::vector<instance_evidence> takeEvidence() { return std::exchange(evidence_news_, {}); }
   /// A member named the leader of the control group; nothing is learned from an empty name.
   void onLeaderNamed(const std::string& address);
   /// The leader, as members told last; empty for unknown.
@@ -72,6 +77,7 @@
 
  private:
   void takeNews(const ProxyNews& news, bool authoritative);
+  void takeEvidenceNews(const ProxyNews& news, TimePoint now);
   void outdateOwnRecord(const InstanceRecord& known);
   bool takeCurrentAnswer(const ControlReply& reply, TimePoint now);
   void tryNextMember(TimePoint now);
@@ -92,6 +98,15 @@
   std::uint32_t unproven_answers_ = 0;  ///< In a row.
   std::uint64_t registry_epoch_ = 0;
   std::uint64_t registry_counter_ = 0;
+
+  std::string evidence_service_;
+  evidence_registry evidence_;          ///< Of the own service, own records included.
+  std::uint64_t evidence_told_ = 0;     ///< The member knows `evidence_` up to here.
+  std::uint64_t evidence_telling_ = 0;  ///< It will once it answers the poll under way.
+  std::uint64_t evidence_counter_ = 0;  ///< Of the member, as registry_counter_.
+  bool evidence_untold_ = false;
+  std::vector<instance_evidence> evidence_news_;
+
   std::uint64_t next_poll_id_ = 1;
   std::uint64_t poll_id_ = 0;  ///< Under way; 0 for none.
   std::uint32_t failures_ = 0;
--- /dev/null
+++ b/daemon/proxy/crash_guard.h
@@ -0,0 +1,98 @@
+// Keeps requests that end servers away from the server beside this daemon.
+//
+// Finds out when that server ends and what was under way there, tells the
+// daemons beside the other servers of the service, and decides by what they
+// tell whether a request may run here, and how: see core/crash_evidence and
+// docs/design/0012. On the thread of the event loop.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/crash_evidence/good_ends.h"
+#include "core/crash_evidence/isolation_lane.h"
+#include "core/crash_evidence/request_verdicts.h"
+#include "core/crash_evidence/server_end_watch.h"
+#include "net/stream/event_loop.h"
+
+namespace ramppond {
+
+struct ProxyContext;
+class InboundRequest;
+class server_probe;
+
+class crash_guard {
+ public:
+  explicit crash_guard(ProxyContext& context);
+  ~crash_guard();
+  crash_guard(const crash_guard&) = delete;
+  auto operator=(const crash_guard&) -> crash_guard& = delete;
+
+  /// Takes what daemons beside other servers of the service tell.
+  void take(const std::vector<instance_evidence>& news);
+  /// Called with what this daemon has to tell.
+  std::function<void(const instance_evidence&)> on_evidence;
+
+  [[nodiscard]] auto judge(const request_digest& digest) const -> standing;
+  /// Whether a request on trial may run here.
+  [[nodiscard]] auto has_trial(const request_digest& digest) const -> bool;
+  /// Another daemon lost the last server of this request.
+  void on_hearsay(const request_digest& digest);
+
+  /// The server's connection ended before the answer to a request did.
+  void on_lost(const std::string& instance_id, const request_digest& digest);
+  /// A request is not waited for any more while the server is at work on it.
+  void on_left(const std::string& instance_id, const request_digest& digest);
+  /// The server answered a request that began at `begun`, by a success or a
+  /// failure that is the client's if `well`.
+  void on_answered(const request_digest& digest, TimePoint begun, bool well);
+  /// `instance_id` has ended: its address refuses connections and none stands,
+  /// or another instance is there.
+  void on_server_gone(const std::string& instance_id);
+
+  /// Whether a suspected request may go on at once; otherwise its onAlone() or,
+  /// at `give_up`, its onIsolationEnded() follows.
+  auto enter(const std::shared_ptr<InboundRequest>& request, isolation_lane::request_id id,
+             TimePoint give_up) -> bool;
+  /// It has ended, or waits no longer; one that never entered is passed over.
+  void leave(isolation_lane::request_id id);
+
+ private:
+  struct own_record {
+    instance_evidence evidence;
+    TimePoint when{0};  // of the end, or of the last change while it runs
+  };
+  struct good_end {
+    request_digest digest;
+    TimePoint when{0};
+  };
+  void check_server();
+  void on_probed(bool refused);
+  auto record_of(const std::string& instance_id) -> own_record&;
+  void tell(own_record& record);
+  void tell_good_end(const request_digest& digest);
+  void withdraw(const request_digest& digest);
+  void after_verdicts();
+  void pump();
+  void reconsider_waiting();
+
+  ProxyContext& context;
+  server_end_watch ends;
+  good_ends ended_well;
+  request_verdicts verdicts;
+  std::map<std::string, own_record> own;  // by instance
+  std::deque<std::string> own_order;      // oldest first
+  std::deque<good_end> told_good_ends;    // newest last
+  isolation_lane lane;
+  std::map<isolation_lane::request_id, std::weak_ptr<InboundRequest>> waiting;
+  std::shared_ptr<server_probe> probe;
+  LoopTimer check_timer;
+  LoopTimer pump_timer;
+  std::uint32_t checks = 0;  // since the last loss
+};
+
+}  // namespace ramppond
--- a/daemon/proxy/forwarded_answer.cc
+++ b/daemon/proxy/forwarded_answer.cc
@@ -43,10 +43,14 @@
   } else if (kind == kOutcomeFenced) {
     own_answer_end_ = AttemptEnd::kNotSent;
     context_.directory.onFenced(*instance_, EventLoop::now());
+  } else if (kind == kOutcomeBarred) {
+    own_answer_end_ = AttemptEnd::kBarred;
+    barred_for_ = parseMilliseconds(head.find(kPeerBarredMs));
   } else if (kind == kOutcomeNotRun) {
     own_answer_end_ = AttemptEnd::kNotRun;
   } else {
     own_answer_end_ = AttemptEnd::kUnknown;
+    lost_runs_ += 1;
   }
 }
 
--- a/daemon/proxy/forwarded_attempt.cc
+++ b/daemon/proxy/forwarded_attempt.cc
@@ -18,6 +18,8 @@
 // A peer answers within the time that a request may wait there and a round trip.
 constexpr Duration kAdmissionMargin = milliseconds(250);
 constexpr Duration kLeastTimeForAttempt = milliseconds(10);
+// A request that lost two servers is more likely their end than a bystander of both.
+constexpr std::uint32_t kMostLostRuns = 2;
 
 // A repeat is worth what it completes: the last call of a run completes it with one more success,
 // an earlier one needs as many as are to come. So the later a call's place, the less it must leave
@@ -91,6 +93,9 @@
   if (isRepeatable(route_->kind)) {
     head.fields.push_back({std::string(kPeerRepeatable), "1"});
   }
+  if (lost_runs_ > 0) {
+    head.fields.push_back({std::string(kPeerSuspect), "1"});
+  }
   if (run_possible_ || attributed_.of_repeat) {
     head.fields.push_back({std::string(kPeerRepeat), "1"});
   }
@@ -155,6 +160,9 @@
   if (body_streamed_ || tried_.size() >= kMaximumTried || timeLeft() < kLeastTimeForAttempt) {
     return false;
   }
+  if (end == AttemptEnd::kBarred || lost_runs_ >= kMostLostRuns) {
+    return false;
+  }
   if (end == AttemptEnd::kNotSent) {
     return true;
   }
@@ -175,7 +183,8 @@
 
 void ForwardedRequest::noteAttempt(AttemptEnd end) {
   endAttempt();
-  arrivals_ += end == AttemptEnd::kNotSent ? 0 : 1;
+  const bool received = end == AttemptEnd::kNotRun || end == AttemptEnd::kUnknown;
+  arrivals_ += received ? 1 : 0;
   run_possible_ = run_possible_ || end == AttemptEnd::kUnknown;
 }
 
@@ -220,6 +229,8 @@
   }
   if (run_possible_) {
     answerOwn(kBadGateway, reason, false);
+  } else if (barred_for_) {
+    answerOwn(kUnavailable, reason, barred_for_);
   } else {
     answerOwn(kUnavailable, reason, true);
   }
--- a/daemon/proxy/forwarded_request.h
+++ b/daemon/proxy/forwarded_request.h
@@ -45,6 +45,7 @@
     kNotSent,  ///< No server received it.
     kNotRun,   ///< A server received it and did not run it.
     kUnknown,  ///< It may have run.
+    kBarred,   ///< No server received it, and none will: it ends the servers that run it.
   };
 
   void start();
@@ -109,9 +110,11 @@
   std::string own_answer_reason_;
   HttpHead answer_head_;
   std::string answer_body_;
-  bool answer_held_ = false;    ///< The answer's head and first part wait for the rest.
-  bool run_possible_ = false;   ///< Some attempt may have run.
-  std::uint32_t arrivals_ = 0;  ///< Attempts that a server received.
+  bool answer_held_ = false;     ///< The answer's head and first part wait for the rest.
+  bool run_possible_ = false;    ///< Some attempt may have run.
+  std::uint32_t arrivals_ = 0;   ///< Attempts that a server received.
+  std::uint32_t lost_runs_ = 0;  ///< Servers that were lost while it ran there.
+  std::optional<Duration> barred_for_;
 };
 
 }  // namespace ramppond
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -1,5 +1,6 @@
 #include "daemon/proxy/inbound_request.h"
 
+#include "core/overloaded.h"
 #include "core/patience.h"
 #include "daemon/proxy/peer_headers.h"
 #include "net/stream/http_status.h"
@@ -17,6 +18,10 @@
 // Between daemons a confirmation takes a round trip. A slot is not held longer for a sender that
 // may be gone.
 constexpr Duration kConfirmationTime = milliseconds(300);
+// A suspected request waits to run alone for this share of its time. One that was under way at one
+// end is most likely innocent and goes on beside the others then: it is late by a quarter at most.
+constexpr std::int64_t kLightIsolationDivisor = 4;
+constexpr std::int64_t kIsolationDivisor = 2;
 
 ServerOutcome outcomeOf(int status) {
   if (status == kGatewayTimeout) {
@@ -63,6 +68,9 @@
   service_ = head.get(kPeerService);
   route_ = head.get(kPeerRoute);
   digest_ = parse_digest(head.get(kPeerDigest));
+  if (digest_ && head.find(kPeerSuspect) != nullptr) {
+    context_.guard.on_hearsay(*digest_);
+  }
   const auto left = parseMilliseconds(head.find(context_.api.headers().deadline_ms));
   deadline_ = received_ + left.value_or(kDefaultTimeLeft);
   const std::string priority = head.get(kPeerPriority);
@@ -82,7 +90,7 @@
   }
   body_ended_ = !exchange_->hasBody();
   if (bodyArrived()) {
-    askAdmission();
+    begin();
   }
 }
 
@@ -102,6 +110,66 @@
   return true;
 }
 
+void InboundRequest::begin() {
+  const standing held = digest_ ? context_.guard.judge(*digest_) : standing(unsuspected{});
+  std::visit(overloaded{[&](const unsuspected&) { askAdmission(); },
+                        [&](const suspected& s) {
+                          lightly_suspected_ = s.ends == 1;
+                          isolate(lightly_suspected_ ? kLightIsolationDivisor : kIsolationDivisor);
+                        },
+                        [&](const on_trial&) {
+                          lightly_suspected_ = false;
+                          if (context_.guard.has_trial(*digest_)) {
+                            isolate(kIsolationDivisor);
+                          } else {
+                            refuse(kOutcomeBusy, "tried elsewhere", kUnavailable);
+                          }
+                        },
+                        [&](const barred& b) { refuseBarred(b.until); }},
+             held);
+}
+
+void InboundRequest::isolate(std::int64_t share_of_time_left) {
+  const TimePoint now = EventLoop::now();
+  if (!isolated_until_) {
+    const Duration wait = (deadline_ - now) / share_of_time_left;
+    isolated_until_ = now + (confirmed_by_end_ ? std::min(wait, admission_.patience) : wait);
+  }
+  state_ = State::kIsolated;
+  if (context_.guard.enter(shared_from_this(), admission_.id, *isolated_until_)) {
+    askAdmission();
+  }
+}
+
+void InboundRequest::onAlone() {
+  if (state_ == State::kIsolated) {
+    askAdmission();
+  }
+}
+
+void InboundRequest::onIsolationEnded() {
+  if (state_ != State::kIsolated) {
+    return;
+  }
+  if (lightly_suspected_) {
+    askAdmission();
+  } else {
+    refuse(kOutcomeBusy, "not alone", kUnavailable);
+  }
+}
+
+void InboundRequest::reconsider() {
+  if (state_ == State::kIsolated) {
+    begin();
+  }
+}
+
+void InboundRequest::refuseBarred(TimePoint until) {
+  context_.counters.inbound_barred += 1;
+  barred_until_ = until;
+  refuse(kOutcomeBarred, "ends servers", kUnavailable);
+}
+
 void InboundRequest::askAdmission() {
   if (!context_.breaker.admit(repeatable_, EventLoop::now())) {
     context_.counters.inbound_broken += 1;
@@ -210,6 +278,9 @@
   head.fields.push_back({std::string(kPeerOutcome), std::string(outcome) + ";" + reason});
   addLoad(head);
   const TimePoint now = EventLoop::now();
+  if (barred_until_) {
+    head.fields.push_back({std::string(kPeerBarredMs), formatMilliseconds(*barred_until_ - now)});
+  }
   if (context_.refusals.allow(now.count())) {
     logEvent(now.count(), context_.refusals.event(),
              {{"request", exchange_->request().get(id_header)},
@@ -235,6 +306,7 @@
 
 void InboundRequest::done() {
   state_ = State::kDone;
+  context_.guard.leave(admission_.id);
 }
 
 void InboundRequest::finishServerWork(ServerOutcome outcome) {
@@ -265,17 +337,17 @@
     return;
   }
   if (confirmed_by_end_ && bodyArrived()) {
-    askAdmission();
+    begin();
   } else if (body_.size() >= kWholeBodyBytes) {
     exchange_->pauseRequestBody();
-    askAdmission();
+    begin();
   }
 }
 
 void InboundRequest::onRequestEnd() {
   body_ended_ = true;
   if (state_ == State::kReceiving && exchange_->hasBody()) {
-    askAdmission();
+    begin();
   } else if (state_ == State::kConfirming) {
     onConfirmed();
   } else if (state_ == State::kRunning && upstream_ != nullptr) {
@@ -358,31 +430,27 @@
     done();
     exchange->finish();
   }
-  context_.ends.on_alive(begun_);
+  if (digest_) {
+    context_.guard.on_answered(*digest_, begun_, outcome_ == ServerOutcome::kAnswered);
+  }
   finishServerWork(outcome_);
 }
 
 void InboundRequest::noteLeft() {
   if (digest_) {
-    context_.ends.on_left(instance_id_, *digest_, EventLoop::now());
+    context_.guard.on_left(instance_id_, *digest_);
   }
 }
 
 void InboundRequest::noteLost() {
   if (digest_) {
-    context_.ends.on_lost(instance_id_, *digest_, EventLoop::now());
+    context_.guard.on_lost(instance_id_, *digest_);
   }
 }
 
 void InboundRequest::onServerRefusedConnection() {
-  const std::size_t established = context_.server_pool.established();
-  if (established == 0) {
-    context_.noteServerEnd(instance_id_);
-  }
-  if (context_.server.onConnectionRefused(instance_id_, established)) {
-    context_.reportServer();
-  }
-  refuse(established > 0 ? kOutcomeBusy : kOutcomeFenced, "no connection", kUnavailable);
+  const bool others_stand = context_.noteServerRefusal(instance_id_);
+  refuse(others_stand ? kOutcomeBusy : kOutcomeFenced, "no connection", kUnavailable);
 }
 
 void InboundRequest::onRequestFailed(ClientFailure failure) {
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -23,6 +23,12 @@
   void onAdmitted();
   /// It waited for as long as it may.
   void onPatienceEnded();
+  /// No other suspected request runs at the server.
+  void onAlone();
+  /// It waited for that for as long as it may.
+  void onIsolationEnded();
+  /// What is known of requests that end servers has changed while it waited for that.
+  void reconsider();
 
   void onRequestBody(std::string_view data) override;
   void onRequestEnd() override;
@@ -38,6 +44,7 @@
  private:
   enum class State : std::uint8_t {
     kReceiving,
+    kIsolated,    ///< Waits until no other suspected request runs at the server.
     kWaiting,     ///< For room at the server.
     kConfirming,  ///< There is room; the end of the request is awaited.
     kRunning,
@@ -45,6 +52,10 @@
   };
 
   void start();
+  /// Everything has come that is needed: decides by what is known of requests like this one.
+  void begin();
+  void isolate(std::int64_t share_of_time_left);
+  void refuseBarred(TimePoint until);
   void askAdmission();
   void askConfirmation();
   void onConfirmed();
@@ -78,6 +89,9 @@
   bool body_ended_ = false;
   std::optional<BodyForm> confirmed_by_end_;  ///< The request is confirmed by its end.
   LoopTimer confirm_timer_;
+  std::optional<TimePoint> isolated_until_;
+  std::optional<TimePoint> barred_until_;
+  bool lightly_suspected_ = false;
   bool repeatable_ = false;
   bool repeat_ = false;      ///< See kPeerRepeat.
   bool under_way_ = false;   ///< Counted by the admission.
--- a/daemon/proxy/peer_headers.h
+++ b/daemon/proxy/peer_headers.h
@@ -36,6 +36,10 @@
 constexpr std::string_view kPeerFarewell = "Ramppond-Farewell";
 /// Requests: the digest of the request (core/crash_evidence/request_digest.h).
 constexpr std::string_view kPeerDigest = "Ramppond-Digest";
+/// Requests: present if the connection to its last server was lost while it ran there.
+constexpr std::string_view kPeerSuspect = "Ramppond-Suspect";
+/// Answers with the outcome kOutcomeBarred: for how long, in milliseconds.
+constexpr std::string_view kPeerBarredMs = "Ramppond-Barred-Ms";
 /// Requests: the name of the route.
 constexpr std::string_view kPeerRoute = "Ramppond-Route";
 /// Answers: overload at the services that requests of this route need further down, "service=level
@@ -49,6 +53,8 @@
 constexpr std::string_view kOutcomeBusy = "busy";
 /// It was not handed to the server: that instance takes no requests any more.
 constexpr std::string_view kOutcomeFenced = "fenced";
+/// It was not handed to the server and will not be anywhere: it ends the servers that run it.
+constexpr std::string_view kOutcomeBarred = "barred";
 /// The server received it and says that it did not run.
 constexpr std::string_view kOutcomeNotRun = "not_run";
 /// It may have run, and no answer can be had.
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -44,6 +44,7 @@
       directory({settings.zone, seed}),
       server(bounds.drain_timeout / kDrainingAdmissionDivisor),
       server_pool(event_loop, serverPoolOptions(settings, external)),
+      guard(*this),
       admission_timer(event_loop) {
   if (settings.max_descriptors > 0) {
     loop.sockets().limit({settings.max_descriptors});
@@ -160,22 +161,15 @@
   }
 }
 
-void ProxyContext::noteServerEnd(const std::string& instance_id) {
-  const TimePoint now = EventLoop::now();
-  const auto ended = ends.on_end(instance_id, now);
-  if (!ended || server.announcedEnd(instance_id)) {
-    return;
+bool ProxyContext::noteServerRefusal(const std::string& instance_id) {
+  const std::size_t established = server_pool.established();
+  if (established == 0) {
+    guard.on_server_gone(instance_id);
   }
-  counters.server_ends += 1;
-  counters.ended_under_way += ended->under_way.size();
-  std::string digests;
-  for (const request_digest& digest : ended->under_way) {
-    digests += (digests.empty() ? "" : " ") + format_digest(digest);
+  if (server.onConnectionRefused(instance_id, established)) {
+    reportServer();
   }
-  logEvent(now.count(), "server_ended",
-           {{"instance", ended->instance_id},
-            {"under_way", std::to_string(ended->under_way.size())},
-            {"digests", digests}});
+  return established > 0;
 }
 
 void ProxyContext::reportServer() {
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -10,7 +10,6 @@
 #include "common/event_log.h"
 #include "core/call_attribution.h"
 #include "core/circuit_breaker.h"
-#include "core/crash_evidence/server_end_watch.h"
 #include "core/external_api.h"
 #include "core/instance_directory.h"
 #include "core/local_server.h"
@@ -24,6 +23,7 @@
 #include "core/tenants/quota_gate.h"
 #include "core/tenants/tenant_rank.h"
 #include "core/traffic_configuration.h"
+#include "daemon/proxy/crash_guard.h"
 #include "daemon/proxy/proxy_settings.h"
 #include "net/stream/event_loop.h"
 #include "net/stream/http_client.h"
@@ -66,8 +66,13 @@
   std::uint64_t inbound_broken = 0;  ///< Refused since the server fails its requests.
   std::uint64_t server_not_run = 0;
   std::uint64_t server_failures = 0;
-  std::uint64_t server_ends = 0;      ///< Of the server beside it, without a word.
-  std::uint64_t ended_under_way = 0;  ///< Requests that it was at work on then.
+  std::uint64_t server_ends = 0;       ///< Of the server beside it, without a word.
+  std::uint64_t ended_under_way = 0;   ///< Requests that it was at work on then.
+  std::uint64_t isolated = 0;          ///< Suspected requests that were to run alone.
+  std::uint64_t suspects_cleared = 0;  ///< By a good end here, at two ends or more before.
+  std::uint64_t requests_barred = 0;   ///< Verdicts; see core/crash_evidence/request_verdicts.h.
+  std::uint64_t bars_withdrawn = 0;    ///< Wrong ones among them.
+  std::uint64_t inbound_barred = 0;    ///< Refused by them.
   std::uint64_t pings = 0;
   std::uint64_t silent_peers = 0;  ///< Pings that were not answered in time.
 };
@@ -99,8 +104,9 @@
   [[nodiscard]] std::uint32_t ranksBelow(std::uint32_t rank) const;
   /// Overload at the services that requests of `route` need when they run at the own server.
   [[nodiscard]] std::vector<service_overload> overloadBelow(const std::string& route) const;
-  /// The server that ran `instance_id` is gone without a word.
-  void noteServerEnd(const std::string& instance_id);
+  /// The address of the server beside it refused a connection meant for `instance_id`. Returns
+  /// whether others to it stand.
+  bool noteServerRefusal(const std::string& instance_id);
   /// What the end of a request tells the breaker.
   void noteServerOutcome(ServerOutcome outcome, bool reused_connection);
   /// The load of the own server, as told with the answer to a request of `route`.
@@ -120,9 +126,9 @@
   service_times times;      ///< Of the server beside it.
   circuit_breaker breaker;  ///< Of the server beside it.
   call_attribution calls;   ///< Of the server beside it.
-  server_end_watch ends;    ///< Likewise.
   overload_below overload;  ///< By the routes of requests that begin on this machine.
   HttpClientPool server_pool;
+  crash_guard guard;  ///< Of the server beside it.
   std::map<std::string, std::unique_ptr<HttpClientPool>> peers;
   std::map<std::string, retry_budget> budgets;
   std::map<std::string, std::shared_ptr<peer_ping>> pings;  ///< The last one to each daemon.
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -104,6 +104,10 @@
       stop_timer_(loop_) {
   context_.on_server_changed = [this] { tellOwnRecord(); };
   context_.on_tenant_surge = [this] { reportTenantsSoon(); };
+  context_.guard.on_evidence = [this](const instance_evidence& evidence) {
+    session_.tellEvidence(evidence, EventLoop::now());
+    poll();
+  };
 }
 
 std::optional<std::string> ProxyProcess::start() {
@@ -181,7 +185,7 @@
   const std::string before = context_.server.heartbeat().instance_id;
   if (context_.server.onHeartbeat(*heartbeat.value, now)) {
     if (before != context_.server.heartbeat().instance_id) {
-      context_.noteServerEnd(before);
+      context_.guard.on_server_gone(before);
     }
     logEvent(now.count(), "server",
              {{"instance", call.instance_id},
@@ -281,6 +285,7 @@
       context_.closeIdleTo(record.daemon_address);
     }
   }
+  context_.guard.take(session_.takeEvidence());
   if (!session_.takeTrafficChanged()) {
     return;
   }
@@ -416,6 +421,11 @@
             {"server_failures", text(counters.server_failures)},
             {"server_ends", text(counters.server_ends)},
             {"ended_under_way", text(counters.ended_under_way)},
+            {"isolated", text(counters.isolated)},
+            {"suspects_cleared", text(counters.suspects_cleared)},
+            {"requests_barred", text(counters.requests_barred)},
+            {"bars_withdrawn", text(counters.bars_withdrawn)},
+            {"inbound_barred", text(counters.inbound_barred)},
             {"pings", text(counters.pings)},
             {"silent_peers", text(counters.silent_peers)},
             {"server_connections", text(context_.server_pool.counters().connections_opened)},
--- a/tests/platform/crashing_requests_day_test.cc
+++ b/tests/platform/crashing_requests_day_test.cc
@@ -52,6 +52,7 @@
     last = day_.send(number % Deployment::kServerMachines,
                      request(kHarmful, "harmful-" + std::to_string(number)));
   }
+  RecordProperty("ends", static_cast<int>(crashes()));
   EXPECT_LE(crashes(), kMostEnds);
   EXPECT_GE(crashes(), 1U);
   EXPECT_EQ(last.status, 503);
