Crash evidence: the pure part is core/crash_evidence/crash_ledger; unit tests; a cleared request counts no earlier end

Found by the new tests: an acquittal forgot the ends, so a second end of a request that ended well elsewhere was never told to others; a daemon that joined barred a request that the others had cleared. Now ends are kept and counted from the last good end on, and a record that holds fewer requests lifts a bar.

--- /dev/null
+++ b/core/crash_evidence/crash_ledger.cc
@@ -0,0 +1,155 @@
+#include "core/crash_evidence/crash_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ramppond {
+namespace {
+
+// Of servers beside this daemon, one after the other.
+constexpr auto most_own_records = std::size_t(16);
+// A good end is told again with later ones for as long as its first record may
+// have been replaced before it was sent.
+constexpr auto good_end_told = seconds(10);
+
+}  // namespace
+
+// A request that ended well here of late is no danger here, whatever others have seen.
+auto crash_ledger::judge(const request_digest& digest, TimePoint now) const -> standing {
+  return this->ended_well.contains(digest, now) ? standing(unsuspected{})
+                                                : this->verdicts.of(digest, now);
+}
+
+void crash_ledger::on_hearsay(const request_digest& digest, TimePoint now) {
+  this->verdicts.on_hearsay(digest, now);
+}
+
+void crash_ledger::on_lost(const std::string& instance_id, const request_digest& digest,
+                           TimePoint now) {
+  this->watch.on_lost(instance_id, digest, now);
+}
+
+void crash_ledger::on_left(const std::string& instance_id, const request_digest& digest,
+                           TimePoint now) {
+  this->watch.on_left(instance_id, digest, now);
+}
+
+void crash_ledger::on_alive(TimePoint begun) {
+  this->watch.on_alive(begun);
+}
+
+auto crash_ledger::on_server_gone(const server_instance& server, TimePoint now)
+    -> std::optional<end_report> {
+  const auto ended = this->watch.on_end(server.id, now);
+  if (!ended) {
+    return std::nullopt;
+  }
+  auto report = end_report{ended->under_way.size(), {}, std::nullopt};
+  auto suspects = std::vector<request_digest>();
+  for (const auto& digest : ended->under_way) {
+    if (this->ended_well.contains(digest, now) || report.candidates.size() >= most_under_way) {
+      continue;
+    }
+    report.candidates.push_back(digest);
+    if (this->verdicts.is_suspect(digest, now)) {
+      suspects.push_back(digest);
+    }
+  }
+  if (suspects.size() == 1) {
+    report.alone = suspects.front();
+  } else {
+    suspects.clear();
+  }
+  auto& record = this->record_of(server);
+  record.when = now;
+  record.evidence.under_way = report.candidates;
+  record.evidence.alone = suspects;
+  this->tell(record, now);
+  this->verdicts.on_evidence(record.evidence, now);
+  return report;
+}
+
+auto crash_ledger::record_of(const server_instance& server) -> own_record& {
+  const auto found = this->own.find(server.id);
+  if (found != this->own.end()) {
+    return found->second;
+  }
+  if (this->own_order.size() >= most_own_records) {
+    this->own.erase(this->own_order.front());
+    this->own_order.pop_front();
+  }
+  this->own_order.push_back(server.id);
+  auto& record = this->own[server.id];
+  record.evidence.instance_id = server.id;
+  record.evidence.service = server.service;
+  return record;
+}
+
+void crash_ledger::tell(own_record& record, TimePoint now) {
+  record.evidence.revision += 1;
+  record.evidence.age = now - record.when;
+  this->untold.push_back(record.evidence);
+}
+
+auto crash_ledger::take_untold() -> std::vector<instance_evidence> {
+  return std::exchange(this->untold, {});
+}
+
+void crash_ledger::on_good_end(const request_digest& digest, const server_instance& server,
+                               TimePoint now) {
+  this->ended_well.add(digest, now);
+  if (this->verdicts.on_good_end(digest, now)) {
+    this->tell_good_end(digest, server, now);
+  }
+}
+
+void crash_ledger::tell_good_end(const request_digest& digest, const server_instance& server,
+                                 TimePoint now) {
+  this->cleared_for_all += 1;
+  while (!this->told_good_ends.empty() &&
+         (this->told_good_ends.size() >= most_ended_well ||
+          now - this->told_good_ends.front().when >= good_end_told)) {
+    this->told_good_ends.pop_front();
+  }
+  this->told_good_ends.push_back({digest, now});
+  auto& record = this->record_of(server);
+  record.when = now;
+  record.evidence.ended_well.clear();
+  for (const auto& told : this->told_good_ends) {
+    record.evidence.ended_well.push_back(told.digest);
+  }
+  this->tell(record, now);
+  this->withdraw(digest, now);
+}
+
+// Whoever joins later learns of ends from their records, not of what cleared a request since.
+void crash_ledger::withdraw(const request_digest& digest, TimePoint now) {
+  for (auto& [instance, record] : this->own) {
+    auto& listed = record.evidence.under_way;
+    const auto found = std::find(listed.begin(), listed.end(), digest);
+    if (found == listed.end()) {
+      continue;
+    }
+    listed.erase(found);
+    auto& alone = record.evidence.alone;
+    alone.erase(std::remove(alone.begin(), alone.end(), digest), alone.end());
+    this->tell(record, now);
+  }
+}
+
+void crash_ledger::take(const std::vector<instance_evidence>& news, const server_instance& server,
+                        TimePoint now) {
+  for (const auto& evidence : news) {
+    this->verdicts.on_evidence(evidence, now);
+    for (const auto& digest : evidence.under_way) {
+      if (this->ended_well.contains(digest, now) && this->verdicts.on_good_end(digest, now)) {
+        this->tell_good_end(digest, server, now);
+      }
+    }
+    for (const auto& digest : evidence.ended_well) {
+      this->withdraw(digest, now);
+    }
+  }
+}
+
+}  // namespace ramppond
--- a/core/crash_evidence/request_verdicts.h
+++ b/core/crash_evidence/request_verdicts.h
@@ -74,7 +74,8 @@
     std::optional<TimePoint> hearsay;
     std::optional<TimePoint> barred_until;
     Duration bar_length{0};
-    std::optional<TimePoint> cleared;
+    std::optional<TimePoint> cleared;        // by a good end
+    std::optional<TimePoint> clearing_told;  // by this daemon or to it
   };
   struct instance_end {
     std::uint64_t revision = 0;
@@ -83,11 +84,14 @@
     std::optional<request_digest> blamed;  // explains the end
   };
   void add_end(const instance_evidence& evidence, TimePoint now);
-  void remove_end(const std::string& instance_id);
+  auto remove_end(const std::string& instance_id) -> std::vector<request_digest>;
   void judge(const request_digest& digest, suspect& judged, TimePoint now);
-  void clear(const request_digest& digest, TimePoint now);
+  void clear(const request_digest& digest, suspect& cleared, TimePoint now);
   void make_room(TimePoint now);
-  [[nodiscard]] auto unexplained(const suspect& judged, TimePoint now) const -> std::uint32_t;
+  [[nodiscard]] auto counts(const suspect& judged, const instance_end& ended, TimePoint now) const
+      -> bool;
+  [[nodiscard]] auto ends_held(const suspect& judged, bool blamed_too, TimePoint now) const
+      -> std::uint32_t;
 
   std::unordered_map<request_digest, suspect> suspects;
   std::map<std::string, instance_end> ends;  // by instance
--- a/daemon/proxy/crash_guard.cc
+++ b/daemon/proxy/crash_guard.cc
@@ -15,12 +15,6 @@
 // still stand after the last of these the server lives.
 constexpr auto check_interval = milliseconds(2);
 constexpr auto most_checks = std::uint32_t(5);
-// Of servers beside this daemon, one after the other.
-constexpr auto most_own_records = std::size_t(16);
-// A good end is told again with later ones for as long as its first record may
-// have been lost.
-constexpr auto good_end_told = seconds(10);
-
 auto join(const std::vector<request_digest>& digests) -> std::string {
   auto text = std::string();
   for (const auto& digest : digests) {
@@ -48,13 +42,13 @@
   }
 }
 
-// A request that ended well here of late is no danger here, whatever others have seen.
+auto crash_guard::server() const -> server_instance {
+  const auto& heartbeat = this->context.server.heartbeat();
+  return {heartbeat.instance_id, heartbeat.service};
+}
+
 auto crash_guard::judge(const request_digest& digest) const -> standing {
-  const auto now = EventLoop::now();
-  if (this->ended_well.contains(digest, now)) {
-    return unsuspected{};
-  }
-  return this->verdicts.of(digest, now);
+  return this->ledger.judge(digest, EventLoop::now());
 }
 
 auto crash_guard::has_trial(const request_digest& digest) const -> bool {
@@ -64,34 +58,30 @@
 }
 
 void crash_guard::on_hearsay(const request_digest& digest) {
-  this->verdicts.on_hearsay(digest, EventLoop::now());
+  this->ledger.on_hearsay(digest, EventLoop::now());
 }
 
 void crash_guard::on_lost(const std::string& instance_id, const request_digest& digest) {
-  this->ends.on_lost(instance_id, digest, EventLoop::now());
+  this->ledger.on_lost(instance_id, digest, EventLoop::now());
   this->checks = 0;
   this->check_timer.after(check_interval, [this] { this->check_server(); });
 }
 
 void crash_guard::on_left(const std::string& instance_id, const request_digest& digest) {
-  this->ends.on_left(instance_id, digest, EventLoop::now());
+  this->ledger.on_left(instance_id, digest, EventLoop::now());
 }
 
 void crash_guard::on_answered(const request_digest& digest, TimePoint begun, bool well) {
-  const auto now = EventLoop::now();
-  this->ends.on_alive(begun);
-  if (!well) {
-    return;
-  }
-  this->ended_well.add(digest, now);
-  if (this->verdicts.on_good_end(digest, now)) {
-    this->tell_good_end(digest);
+  this->ledger.on_alive(begun);
+  if (well) {
+    this->ledger.on_good_end(digest, this->server(), EventLoop::now());
+    this->tell_news();
   }
 }
 
 // A connection is made only when none stands: one that does shows that the server lives.
 void crash_guard::check_server() {
-  if (!this->ends.is_pending() || this->probe != nullptr) {
+  if (!this->ledger.is_pending() || this->probe != nullptr) {
     return;
   }
   if (this->context.server_pool.established() > 0) {
@@ -111,130 +101,57 @@
   if (refused) {
     this->context.noteServerRefusal(this->context.server.heartbeat().instance_id);
   } else {
-    this->ends.on_alive(EventLoop::now());
+    this->ledger.on_alive(EventLoop::now());
   }
 }
 
 void crash_guard::on_server_gone(const std::string& instance_id) {
   const auto now = EventLoop::now();
-  const auto ended = this->ends.on_end(instance_id, now);
-  if (!ended || this->context.server.announcedEnd(instance_id)) {
+  if (this->context.server.announcedEnd(instance_id)) {
+    this->ledger.on_alive(now);  // it ended as planned
     return;
   }
-  auto& record = this->record_of(instance_id);
-  record.when = now;
-  for (const auto& digest : ended->under_way) {
-    if (this->ended_well.contains(digest, now) ||
-        record.evidence.under_way.size() >= most_under_way) {
-      continue;
-    }
-    record.evidence.under_way.push_back(digest);
-    if (this->verdicts.is_suspect(digest, now)) {
-      record.evidence.alone.push_back(digest);
-    }
-  }
-  if (record.evidence.alone.size() > 1) {
-    record.evidence.alone.clear();
+  const auto report = this->ledger.on_server_gone({instance_id, this->server().service}, now);
+  if (!report) {
+    return;
   }
   this->context.counters.server_ends += 1;
-  this->context.counters.ended_under_way += ended->under_way.size();
+  this->context.counters.ended_under_way += report->under_way;
   logEvent(now.count(), "server_ended",
            {{"instance", instance_id},
-            {"under_way", std::to_string(ended->under_way.size())},
-            {"digests", join(record.evidence.under_way)},
-            {"alone", join(record.evidence.alone)}});
-  this->tell(record);
-  this->verdicts.on_evidence(record.evidence, now);
-  this->after_verdicts();
-}
-
-auto crash_guard::record_of(const std::string& instance_id) -> own_record& {
-  const auto found = this->own.find(instance_id);
-  if (found != this->own.end()) {
-    return found->second;
-  }
-  if (this->own_order.size() >= most_own_records) {
-    this->own.erase(this->own_order.front());
-    this->own_order.pop_front();
-  }
-  this->own_order.push_back(instance_id);
-  auto& record = this->own[instance_id];
-  record.evidence.instance_id = instance_id;
-  record.evidence.service = this->context.server.heartbeat().service;
-  return record;
-}
-
-void crash_guard::tell(own_record& record) {
-  record.evidence.revision += 1;
-  record.evidence.age = EventLoop::now() - record.when;
-  if (this->on_evidence) {
-    this->on_evidence(record.evidence);
-  }
-}
-
-void crash_guard::tell_good_end(const request_digest& digest) {
-  const auto now = EventLoop::now();
-  this->context.counters.suspects_cleared += 1;
-  while (!this->told_good_ends.empty() &&
-         (this->told_good_ends.size() >= most_ended_well ||
-          now - this->told_good_ends.front().when >= good_end_told)) {
-    this->told_good_ends.pop_front();
-  }
-  this->told_good_ends.push_back({digest, now});
-  auto& record = this->record_of(this->context.server.heartbeat().instance_id);
-  record.when = now;
-  record.evidence.ended_well.clear();
-  for (const auto& told : this->told_good_ends) {
-    record.evidence.ended_well.push_back(told.digest);
-  }
-  this->tell(record);
-  this->withdraw(digest);
-}
-
-// Whoever joins later learns of ends from their records, not of what cleared a request since.
-void crash_guard::withdraw(const request_digest& digest) {
-  for (auto& [instance, record] : this->own) {
-    auto& listed = record.evidence.under_way;
-    const auto found = std::find(listed.begin(), listed.end(), digest);
-    if (found == listed.end()) {
-      continue;
-    }
-    listed.erase(found);
-    auto& alone = record.evidence.alone;
-    alone.erase(std::remove(alone.begin(), alone.end(), digest), alone.end());
-    this->tell(record);
-  }
+            {"under_way", std::to_string(report->under_way)},
+            {"digests", join(report->candidates)},
+            {"alone", report->alone ? format_digest(*report->alone) : std::string()}});
+  this->tell_news();
 }
 
 void crash_guard::take(const std::vector<instance_evidence>& news) {
-  const auto now = EventLoop::now();
-  for (const auto& evidence : news) {
-    this->verdicts.on_evidence(evidence, now);
-    for (const auto& digest : evidence.under_way) {
-      if (this->ended_well.contains(digest, now) && this->verdicts.on_good_end(digest, now)) {
-        this->tell_good_end(digest);
-      }
-    }
-    for (const auto& digest : evidence.ended_well) {
-      this->withdraw(digest);
-    }
-  }
   if (!news.empty()) {
-    this->after_verdicts();
+    this->ledger.take(news, this->server(), EventLoop::now());
+    this->tell_news();
+    this->reconsider_waiting();
   }
 }
 
-void crash_guard::after_verdicts() {
+// Tells the control group of new records, and the log of new verdicts.
+void crash_guard::tell_news() {
   const auto now = EventLoop::now();
-  this->context.counters.bars_withdrawn = this->verdicts.withdrawn();
-  for (const auto& bar : this->verdicts.take_bars()) {
+  for (const auto& evidence : this->ledger.take_untold()) {
+    this->on_evidence(evidence);
+  }
+  this->context.counters.bars_withdrawn = this->ledger.withdrawn();
+  this->context.counters.suspects_cleared = this->ledger.cleared();
+  const auto bars = this->ledger.take_bars();
+  for (const auto& bar : bars) {
     this->context.counters.requests_barred += 1;
     logEvent(now.count(), "request_barred",
              {{"digest", format_digest(bar.digest)},
               {"instances", join(bar.instances)},
               {"length_us", std::to_string(bar.length.count())}});
   }
-  this->reconsider_waiting();
+  if (!bars.empty()) {
+    this->reconsider_waiting();
+  }
 }
 
 auto crash_guard::enter(const std::shared_ptr<InboundRequest>& request,
--- a/daemon/proxy/crash_guard.h
+++ b/daemon/proxy/crash_guard.h
@@ -6,17 +6,14 @@
 // docs/design/0012. On the thread of the event loop.
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "core/crash_evidence/good_ends.h"
+#include "core/crash_evidence/crash_ledger.h"
 #include "core/crash_evidence/isolation_lane.h"
-#include "core/crash_evidence/request_verdicts.h"
-#include "core/crash_evidence/server_end_watch.h"
 #include "net/stream/event_loop.h"
 
 namespace ramppond {
@@ -62,31 +59,15 @@
   void leave(isolation_lane::request_id id);
 
  private:
-  struct own_record {
-    instance_evidence evidence;
-    TimePoint when{0};  // of the end, or of the last change while it runs
-  };
-  struct good_end {
-    request_digest digest;
-    TimePoint when{0};
-  };
   void check_server();
   void on_probed(bool refused);
-  auto record_of(const std::string& instance_id) -> own_record&;
-  void tell(own_record& record);
-  void tell_good_end(const request_digest& digest);
-  void withdraw(const request_digest& digest);
-  void after_verdicts();
+  [[nodiscard]] auto server() const -> server_instance;
+  void tell_news();
   void pump();
   void reconsider_waiting();
 
   ProxyContext& context;
-  server_end_watch ends;
-  good_ends ended_well;
-  request_verdicts verdicts;
-  std::map<std::string, own_record> own;  // by instance
-  std::deque<std::string> own_order;      // oldest first
-  std::deque<good_end> told_good_ends;    // newest last
+  crash_ledger ledger;
   isolation_lane lane;
   std::map<isolation_lane::request_id, std::weak_ptr<InboundRequest>> waiting;
   std::shared_ptr<server_probe> probe;
--- /dev/null
+++ b/tests/core/crash_evidence/crash_ledger_test.cc
@@ -0,0 +1,123 @@
+#include "core/crash_evidence/crash_ledger.h"
+
+#include <gtest/gtest.h>
+
+#include "core/crash_evidence/trial_place.h"
+
+namespace ramppond {
+namespace {
+
+constexpr auto harmful = request_digest{1, 1};
+constexpr auto beside = request_digest{2, 2};
+constexpr auto popular = request_digest{3, 3};
+const auto here = server_instance{"a", "templates"};
+const auto there = server_instance{"b", "templates"};
+
+class two_daemons : public testing::Test {
+ protected:
+  void pass_on() {
+    for (auto round = 0; round < 4; ++round) {  // until nobody has anything to tell
+      this->second.take(this->first.take_untold(), there, this->now);
+      this->first.take(this->second.take_untold(), here, this->now);
+    }
+  }
+  void end(crash_ledger& ledger, const server_instance& server,
+           const std::vector<request_digest>& under_way) {
+    for (const auto& digest : under_way) {
+      ledger.on_lost(server.id, digest, this->now);
+    }
+    EXPECT_TRUE(ledger.on_server_gone(server, this->now));
+  }
+  auto suspects(const crash_ledger& ledger, const request_digest& digest) -> bool {
+    return !std::holds_alternative<unsuspected>(ledger.judge(digest, this->now));
+  }
+  auto bars(const crash_ledger& ledger, const request_digest& digest) -> bool {
+    return std::holds_alternative<barred>(ledger.judge(digest, this->now));
+  }
+
+  crash_ledger first;
+  crash_ledger second;
+  TimePoint now = TimePoint(std::chrono::hours(10));
+};
+
+TEST_F(two_daemons, bar_what_ended_both_servers_and_clear_what_was_beside) {
+  this->end(this->first, here, {harmful, beside});
+  this->pass_on();
+  EXPECT_TRUE(this->suspects(this->second, harmful));
+  EXPECT_TRUE(this->suspects(this->second, beside));
+  this->end(this->second, there, {harmful});
+  this->pass_on();
+  for (const auto* ledger : {&this->first, &this->second}) {
+    EXPECT_TRUE(this->bars(*ledger, harmful));
+    EXPECT_FALSE(this->suspects(*ledger, beside));
+  }
+}
+
+TEST_F(two_daemons, tell_each_other_by_a_repeat_before_the_record_has_come) {
+  this->end(this->first, here, {harmful, beside});
+  this->second.on_hearsay(harmful, this->now);
+  this->end(this->second, there, {harmful, popular});
+  this->pass_on();
+  EXPECT_TRUE(this->bars(this->first, harmful));
+  EXPECT_TRUE(this->bars(this->second, harmful));
+}
+
+TEST_F(two_daemons, suspect_nothing_that_ended_well_at_the_server_of_late) {
+  this->first.on_good_end(popular, here, this->now);
+  this->end(this->first, here, {popular, beside});
+  this->pass_on();
+  EXPECT_FALSE(this->suspects(this->first, popular));
+  EXPECT_FALSE(this->suspects(this->second, popular));
+}
+
+TEST_F(two_daemons, clear_for_all_what_ended_well_at_one) {
+  this->second.on_good_end(popular, there, this->now);
+  this->end(this->first, here, {popular});
+  this->end(this->first, {"a2", "templates"}, {popular});
+  EXPECT_TRUE(this->suspects(this->first, popular));
+  this->pass_on();
+  EXPECT_FALSE(this->suspects(this->first, popular));
+  EXPECT_FALSE(this->suspects(this->second, popular));
+  EXPECT_EQ(this->second.cleared(), 1U);
+}
+
+// A daemon that joins is told of ends only: what was cleared since is not held against anybody.
+TEST_F(two_daemons, withdraw_what_was_cleared_from_what_a_third_is_told) {
+  this->end(this->first, here, {popular});
+  this->end(this->first, {"a2", "templates"}, {popular});
+  auto told = this->first.take_untold();
+  this->second.take(told, there, this->now);
+  this->second.on_good_end(popular, there, this->now);
+  this->first.take(this->second.take_untold(), here, this->now);
+  for (const auto& evidence : this->first.take_untold()) {
+    told.push_back(evidence);
+  }
+  auto third = crash_ledger();
+  third.take(told, {"c", "templates"}, this->now + seconds(60));
+  this->now += seconds(60);
+  EXPECT_FALSE(this->suspects(third, popular));
+}
+
+TEST(trial_place, is_one_daemon_for_all_and_moves_only_when_it_is_gone) {
+  auto daemons = std::vector<std::string>();
+  for (auto i = 0; i < 200; ++i) {
+    daemons.push_back("10.0.0." + std::to_string(i) + ":7060");
+  }
+  for (auto request = std::uint64_t(1); request < 50; ++request) {
+    const auto digest = request_digest{request, request};
+    auto places = std::vector<std::string>();
+    for (const auto& daemon : daemons) {
+      if (is_trial_place(digest, daemon, daemons)) {
+        places.push_back(daemon);
+      }
+    }
+    ASSERT_EQ(places.size(), 1U);
+    auto fewer = daemons;
+    fewer.erase(std::find(fewer.begin(), fewer.end(), places[0]) == fewer.begin() ? fewer.end() - 1
+                                                                                  : fewer.begin());
+    EXPECT_TRUE(is_trial_place(digest, places[0], fewer));
+  }
+}
+
+}  // namespace
+}  // namespace ramppond
