Crash evidence: what proves a request to end servers, in a fleet in virtual time

Cause: the first form took 'the only one that was suspected when the server ended' for proof, as the daemon saw it at that moment. In a fleet of 3, 60 and 200 daemons in virtual time (crash_fleet_test) it barred popular requests: a bystander that was known by hearsay while the harmful one was not yet; bystanders of a barred request; what was repeated during the end of many servers at once. Change: proof is made of records alone, the same in whatever order they come: a request ended a server at which it ran alone under suspicion, while nothing else there had been under way at two ends; two such ends where servers end for another reason at the same time; an end that another request explains counts for nothing.

--- a/core/crash_evidence/crash_ledger.cc
+++ b/core/crash_evidence/crash_ledger.cc
@@ -1,6 +1,7 @@
 #include "core/crash_evidence/crash_ledger.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace ramppond {
@@ -24,14 +25,12 @@
   this->verdicts.on_hearsay(digest, now);
 }
 
-void crash_ledger::on_lost(const std::string& instance_id, const request_digest& digest,
-                           TimePoint now) {
-  this->watch.on_lost(instance_id, digest, now);
+void crash_ledger::on_lost(const server_run& run, TimePoint now) {
+  this->watch.on_lost(run, now);
 }
 
-void crash_ledger::on_left(const std::string& instance_id, const request_digest& digest,
-                           TimePoint now) {
-  this->watch.on_left(instance_id, digest, now);
+void crash_ledger::on_left(const server_run& run, TimePoint now) {
+  this->watch.on_left(run, now);
 }
 
 void crash_ledger::on_alive(TimePoint begun) {
@@ -44,26 +43,20 @@
   if (!ended) {
     return std::nullopt;
   }
-  auto report = end_report{ended->under_way.size(), {}, std::nullopt};
-  auto suspects = std::vector<request_digest>();
-  for (const auto& digest : ended->under_way) {
-    if (this->ended_well.contains(digest, now) || report.candidates.size() >= most_under_way) {
-      continue;
-    }
-    report.candidates.push_back(digest);
-    if (this->verdicts.is_suspect(digest, now)) {
-      suspects.push_back(digest);
-    }
-  }
-  if (suspects.size() == 1) {
-    report.alone = suspects.front();
-  } else {
-    suspects.clear();
-  }
+  const auto is_candidate = [&](const request_digest& digest) {
+    return !this->ended_well.contains(digest, now);
+  };
+  auto report = end_report();
+  report.under_way = ended->under_way.size();
+  std::copy_if(ended->under_way.begin(), ended->under_way.end(),
+               std::back_inserter(report.candidates), is_candidate);
+  std::copy_if(ended->isolated.begin(), ended->isolated.end(), std::back_inserter(report.isolated),
+               is_candidate);
+  report.candidates.resize(std::min(report.candidates.size(), most_under_way));
   auto& record = this->record_of(server);
   record.when = now;
   record.evidence.under_way = report.candidates;
-  record.evidence.alone = suspects;
+  record.evidence.isolated = report.isolated;
   this->tell(record, now);
   this->verdicts.on_evidence(record.evidence, now);
   return report;
@@ -131,8 +124,6 @@
       continue;
     }
     listed.erase(found);
-    auto& alone = record.evidence.alone;
-    alone.erase(std::remove(alone.begin(), alone.end(), digest), alone.end());
     this->tell(record, now);
   }
 }
--- a/core/crash_evidence/crash_ledger.h
+++ b/core/crash_evidence/crash_ledger.h
@@ -29,7 +29,7 @@
 struct end_report {
   std::size_t under_way = 0;               // requests
   std::vector<request_digest> candidates;  // that did not end well here of late
-  std::optional<request_digest> alone;     // the only one of them suspected before
+  std::vector<request_digest> isolated;    // of these, begun under suspicion
 };
 
 class crash_ledger {
@@ -39,8 +39,8 @@
   /// Another daemon lost the last server of this request.
   void on_hearsay(const request_digest& digest, TimePoint now);
   /// See server_end_watch.
-  void on_lost(const std::string& instance_id, const request_digest& digest, TimePoint now);
-  void on_left(const std::string& instance_id, const request_digest& digest, TimePoint now);
+  void on_lost(const server_run& run, TimePoint now);
+  void on_left(const server_run& run, TimePoint now);
   void on_alive(TimePoint begun);
   [[nodiscard]] auto is_pending() const -> bool { return this->watch.is_pending(); }
   /// Nothing if no request was under way.
--- a/core/crash_evidence/instance_evidence.h
+++ b/core/crash_evidence/instance_evidence.h
@@ -29,8 +29,8 @@
   /// Requests that the server was at work on when it ended without a word, but
   /// for those that had ended well there of late; empty while it runs.
   std::vector<request_digest> under_way;
-  /// The one of them, if it was one, that had been under way at an earlier end.
-  std::vector<request_digest> alone;
+  /// Those of them that were begun under suspicion, so that they ran alone.
+  std::vector<request_digest> isolated;
   /// Requests under suspicion that ended well at it.
   std::vector<request_digest> ended_well;
 
@@ -41,7 +41,7 @@
     visitor(3, revision);
     visitor(4, age);
     visitor(5, under_way);
-    visitor(6, alone);
+    visitor(6, isolated);
     visitor(7, ended_well);
   }
 };
--- a/core/crash_evidence/request_verdicts.cc
+++ b/core/crash_evidence/request_verdicts.cc
@@ -11,8 +11,11 @@
 constexpr auto ends_to_bar = std::uint32_t(2);
 // A wrong verdict costs its caller this long, a right one a server's end when
 // it is over: the longer, the more often it was confirmed.
-constexpr auto first_bar = std::chrono::duration_cast<Duration>(std::chrono::minutes(5));
+constexpr auto first_bar = std::chrono::duration_cast<Duration>(std::chrono::minutes(2));
 constexpr auto longest_bar = std::chrono::duration_cast<Duration>(std::chrono::hours(1));
+// Servers that end at once for another reason, as with a rack that loses power.
+constexpr auto ends_of_another_cause = std::size_t(2);
+constexpr auto same_time = seconds(1);
 // The record of an end takes a few tenths of a second from daemon to daemon.
 constexpr auto hearsay_lasts = seconds(5);
 // A request that ended well may be under way at ends that come right after, more
@@ -21,6 +24,10 @@
 // 64 ends of a service with 128 requests under way each.
 constexpr auto most_suspects = std::size_t(8192);
 
+auto contains(const std::vector<request_digest>& digests, const request_digest& digest) -> bool {
+  return std::find(digests.begin(), digests.end(), digest) != digests.end();
+}
+
 }  // namespace
 
 void request_verdicts::on_evidence(const instance_evidence& evidence, TimePoint now) {
@@ -67,33 +74,37 @@
 void request_verdicts::add_end(const instance_evidence& evidence, TimePoint now) {
   auto& ended = this->ends[evidence.instance_id];
   ended.when = now - evidence.age;
-  for (const auto& digest : evidence.under_way) {
-    if (ended.under_way.size() >= most_under_way) {
-      return;
+  ended.under_way = evidence.under_way;
+  ended.under_way.resize(std::min(ended.under_way.size(), most_under_way));
+  ended.isolated = evidence.isolated;
+  for (const auto& digest : ended.under_way) {
+    this->suspects[digest].ends.push_back(evidence.instance_id);
+  }
+  this->blame_barred(ended, now);
+  for (const auto& digest : ended.under_way) {
+    this->judge(digest, now);
+  }
+}
+
+// What is barred and was under way all the same, since the word had not come yet, explains the end.
+void request_verdicts::blame_barred(instance_end& ended, TimePoint now) const {
+  for (const auto& digest : ended.under_way) {
+    const auto& s = this->suspects.at(digest);
+    if (s.barred_until && now < *s.barred_until) {
+      ended.blamed = digest;
     }
-    auto& s = this->suspects[digest];
-    ended.under_way.push_back(digest);
-    s.ends.push_back(evidence.instance_id);
-    const auto is_alone =
-        std::find(evidence.alone.begin(), evidence.alone.end(), digest) != evidence.alone.end();
-    s.alone = s.alone || (is_alone && this->counts(s, ended, now));
-    this->judge(digest, s, now);
   }
 }
 
-// The record of the earlier end may come after the one that tells it alone.
-void request_verdicts::judge(const request_digest& digest, suspect& judged, TimePoint now) {
+void request_verdicts::judge(const request_digest& digest, TimePoint now) {
+  auto& judged = this->suspects[digest];
   const auto in_force = judged.barred_until && now < *judged.barred_until;
-  const auto is_proved = judged.alone && this->ends_held(judged, true, now) >= ends_to_bar;
-  if (!in_force && !is_proved) {
+  if (in_force || !this->is_proved(digest, judged, now)) {
     return;
   }
   for (const auto& instance : judged.ends) {
-    this->ends[instance].blamed = digest;
-  }
-  judged.alone = false;
-  if (in_force) {
-    return;
+    auto& blamed = this->ends[instance].blamed;
+    blamed = blamed.value_or(digest);
   }
   judged.bar_length = judged.barred_until ? std::min<Duration>(judged.bar_length * 2, longest_bar)
                                           : Duration(first_bar);
@@ -101,6 +112,46 @@
   this->bars.push_back({digest, judged.ends, judged.bar_length});
 }
 
+// A server ended under it while it ran alone for what it had done before, and nothing else that was
+// under way there had been under way at another end. Many servers that end at once prove nothing:
+// what was under way at them had not been begun under suspicion, or, repeated after the first of
+// them, at one more of them by chance.
+auto request_verdicts::is_proved(const request_digest& digest, const suspect& judged,
+                                 TimePoint now) const -> bool {
+  if (this->ends_held(digest, judged, now) < ends_to_bar) {
+    return false;
+  }
+  const auto is_other_suspect = [&](const request_digest& other) {
+    return other != digest && this->ends_held(other, this->suspects.at(other), now) >= ends_to_bar;
+  };
+  auto found = std::uint32_t(0);
+  auto wanted = std::uint32_t(1);
+  for (const auto& instance : judged.ends) {
+    const auto& ended = this->ends.at(instance);
+    const auto is_decisive =
+        !ended.blamed && this->counts(judged, ended, now) && contains(ended.isolated, digest) &&
+        std::none_of(ended.under_way.begin(), ended.under_way.end(), is_other_suspect);
+    found += is_decisive ? 1 : 0;
+    if (is_decisive && this->ends_beside(digest, ended) >= ends_of_another_cause) {
+      wanted = ends_to_bar;
+    }
+  }
+  return found >= wanted;
+}
+
+// Ends at about the same time that neither this request nor one that is barred explains.
+auto request_verdicts::ends_beside(const request_digest& digest, const instance_end& ended) const
+    -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(this->ends.begin(), this->ends.end(), [&](const auto& entry) {
+        const auto& other = entry.second;
+        const auto apart =
+            other.when > ended.when ? other.when - ended.when : ended.when - other.when;
+        return !other.under_way.empty() && !other.blamed && apart < same_time &&
+               !contains(other.under_way, digest);
+      }));
+}
+
 void request_verdicts::on_hearsay(const request_digest& digest, TimePoint now) {
   this->make_room(now);
   this->suspects[digest].hearsay = now;
@@ -125,7 +176,6 @@
 // Whatever it was blamed for is open again.
 void request_verdicts::clear(const request_digest& digest, suspect& cleared, TimePoint now) {
   cleared.cleared = now;
-  cleared.alone = false;
   cleared.hearsay.reset();
   if (!cleared.barred_until) {
     return;
@@ -144,12 +194,14 @@
   return !is_cleared && now - ended.when < evidence_lifetime;
 }
 
-auto request_verdicts::ends_held(const suspect& judged, bool blamed_too, TimePoint now) const
-    -> std::uint32_t {
+// Without those that another request explains.
+auto request_verdicts::ends_held(const request_digest& digest, const suspect& judged,
+                                 TimePoint now) const -> std::uint32_t {
   auto held = std::uint32_t(0);
   for (const auto& instance : judged.ends) {
     const auto found = this->ends.find(instance);
-    const auto is_held = found != this->ends.end() && (blamed_too || !found->second.blamed) &&
+    const auto is_held = found != this->ends.end() &&
+                         found->second.blamed.value_or(digest) == digest &&
                          this->counts(judged, found->second, now);
     held += is_held ? 1 : 0;
   }
@@ -165,7 +217,7 @@
   if (s.barred_until) {
     return now < *s.barred_until ? standing(barred{*s.barred_until}) : standing(on_trial{});
   }
-  const auto held = this->ends_held(s, false, now);
+  const auto held = this->ends_held(digest, s, now);
   if (held >= ends_for_trial) {
     return on_trial{};
   }
@@ -196,7 +248,7 @@
   for (auto least = std::uint32_t(1); this->suspects.size() > most_suspects / 2; ++least) {
     for (auto s = this->suspects.begin(); s != this->suspects.end();) {
       const auto is_barred = s->second.barred_until && now < *s->second.barred_until;
-      const auto goes = !is_barred && this->ends_held(s->second, false, now) < least;
+      const auto goes = !is_barred && this->ends_held(s->first, s->second, now) < least;
       s = goes ? this->suspects.erase(s) : std::next(s);
     }
     if (least > ends_for_trial) {
--- a/core/crash_evidence/request_verdicts.h
+++ b/core/crash_evidence/request_verdicts.h
@@ -70,7 +70,6 @@
  private:
   struct suspect {
     std::vector<std::string> ends;  // instances at whose end it was under way
-    bool alone = false;             // at one of them, among the suspected
     std::optional<TimePoint> hearsay;
     std::optional<TimePoint> barred_until;
     Duration bar_length{0};
@@ -81,17 +80,23 @@
     std::uint64_t revision = 0;
     TimePoint when{0};
     std::vector<request_digest> under_way;
+    std::vector<request_digest> isolated;
     std::optional<request_digest> blamed;  // explains the end
   };
   void add_end(const instance_evidence& evidence, TimePoint now);
   auto remove_end(const std::string& instance_id) -> std::vector<request_digest>;
-  void judge(const request_digest& digest, suspect& judged, TimePoint now);
+  void blame_barred(instance_end& ended, TimePoint now) const;
+  void judge(const request_digest& digest, TimePoint now);
+  [[nodiscard]] auto is_proved(const request_digest& digest, const suspect& judged,
+                               TimePoint now) const -> bool;
+  [[nodiscard]] auto ends_beside(const request_digest& digest, const instance_end& ended) const
+      -> std::size_t;
   void clear(const request_digest& digest, suspect& cleared, TimePoint now);
   void make_room(TimePoint now);
   [[nodiscard]] auto counts(const suspect& judged, const instance_end& ended, TimePoint now) const
       -> bool;
-  [[nodiscard]] auto ends_held(const suspect& judged, bool blamed_too, TimePoint now) const
-      -> std::uint32_t;
+  [[nodiscard]] auto ends_held(const request_digest& digest, const suspect& judged,
+                               TimePoint now) const -> std::uint32_t;
 
   std::unordered_map<request_digest, suspect> suspects;
   std::map<std::string, instance_end> ends;  // by instance
--- a/core/crash_evidence/server_end_watch.cc
+++ b/core/crash_evidence/server_end_watch.cc
@@ -15,23 +15,26 @@
 // As many as a server may be at work on, and some that were left.
 constexpr auto most_runs = std::size_t(1024);
 
+void make_set(std::vector<request_digest>& digests) {
+  std::sort(digests.begin(), digests.end());
+  digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
+}
+
 }  // namespace
 
-void server_end_watch::add(lost_run run) {
+void server_end_watch::add(const lost_run& lost) {
   if (this->runs.size() >= most_runs) {
     this->runs.pop_front();
   }
-  this->runs.push_back(std::move(run));
+  this->runs.push_back(lost);
 }
 
-void server_end_watch::on_lost(const std::string& instance_id, const request_digest& digest,
-                               TimePoint now) {
-  this->add({instance_id, digest, now, false});
+void server_end_watch::on_lost(const server_run& run, TimePoint now) {
+  this->add({run, now, false});
 }
 
-void server_end_watch::on_left(const std::string& instance_id, const request_digest& digest,
-                               TimePoint now) {
-  this->add({instance_id, digest, now, true});
+void server_end_watch::on_left(const server_run& run, TimePoint now) {
+  this->add({run, now, true});
 }
 
 void server_end_watch::on_alive(TimePoint begun) {
@@ -48,23 +51,26 @@
     -> std::optional<ended_server> {
   auto lost_last = std::optional<TimePoint>();
   for (const auto& r : this->runs) {
-    const auto counts = !r.left && r.instance_id == instance_id && now - r.when < remembered;
+    const auto counts = !r.left && r.run.instance_id == instance_id && now - r.when < remembered;
     lost_last = counts ? std::optional(r.when) : lost_last;
   }
   if (!lost_last) {
     return std::nullopt;
   }
-  auto ended = ended_server{instance_id, {}};
+  auto ended = ended_server{instance_id, {}, {}};
   for (const auto& r : this->runs) {
     const auto since = *lost_last - (r.left ? Duration(left_before) : Duration(one_moment));
-    if (r.instance_id == instance_id && r.when >= since) {
-      ended.under_way.push_back(r.digest);
+    if (r.run.instance_id != instance_id || r.when < since) {
+      continue;
+    }
+    ended.under_way.push_back(r.run.digest);
+    if (r.run.isolated) {
+      ended.isolated.push_back(r.run.digest);
     }
   }
   this->runs.clear();
-  std::sort(ended.under_way.begin(), ended.under_way.end());
-  ended.under_way.erase(std::unique(ended.under_way.begin(), ended.under_way.end()),
-                        ended.under_way.end());
+  make_set(ended.under_way);
+  make_set(ended.isolated);
   return ended;
 }
 
--- a/core/crash_evidence/server_end_watch.h
+++ b/core/crash_evidence/server_end_watch.h
@@ -24,16 +24,24 @@
 struct ended_server {
   std::string instance_id;
   std::vector<request_digest> under_way;  // sorted, each once
+  std::vector<request_digest> isolated;   // likewise; of these, begun under suspicion
+};
+
+/// A run of a request at the server beside this daemon.
+struct server_run {
+  std::string instance_id;
+  request_digest digest;
+  bool isolated = false;  // it was begun under suspicion
 };
 
 class server_end_watch {
  public:
-  /// The connection on which `instance_id` was at work on a request ended
-  /// before the answer did.
-  void on_lost(const std::string& instance_id, const request_digest& digest, TimePoint now);
+  /// The connection on which the server was at work on a request ended before
+  /// the answer did.
+  void on_lost(const server_run& run, TimePoint now);
   /// Whoever had sent the request left before the answer: the server may have
   /// been at work on it for a moment longer.
-  void on_left(const std::string& instance_id, const request_digest& digest, TimePoint now);
+  void on_left(const server_run& run, TimePoint now);
   /// A request that was begun at `begun` was answered, or a connection that was
   /// opened then stands: what was lost before was lost by a server that lives.
   void on_alive(TimePoint begun);
@@ -47,12 +55,11 @@
 
  private:
   struct lost_run {
-    std::string instance_id;
-    request_digest digest;
+    server_run run;
     TimePoint when{0};
     bool left = false;
   };
-  void add(lost_run run);
+  void add(const lost_run& lost);
 
   std::deque<lost_run> runs;
 };
--- a/daemon/proxy/crash_guard.cc
+++ b/daemon/proxy/crash_guard.cc
@@ -61,14 +61,14 @@
   this->ledger.on_hearsay(digest, EventLoop::now());
 }
 
-void crash_guard::on_lost(const std::string& instance_id, const request_digest& digest) {
-  this->ledger.on_lost(instance_id, digest, EventLoop::now());
+void crash_guard::on_lost(const server_run& run) {
+  this->ledger.on_lost(run, EventLoop::now());
   this->checks = 0;
   this->check_timer.after(check_interval, [this] { this->check_server(); });
 }
 
-void crash_guard::on_left(const std::string& instance_id, const request_digest& digest) {
-  this->ledger.on_left(instance_id, digest, EventLoop::now());
+void crash_guard::on_left(const server_run& run) {
+  this->ledger.on_left(run, EventLoop::now());
 }
 
 void crash_guard::on_answered(const request_digest& digest, TimePoint begun, bool well) {
@@ -121,7 +121,7 @@
            {{"instance", instance_id},
             {"under_way", std::to_string(report->under_way)},
             {"digests", join(report->candidates)},
-            {"alone", report->alone ? format_digest(*report->alone) : std::string()}});
+            {"isolated", join(report->isolated)}});
   this->tell_news();
 }
 
--- a/daemon/proxy/crash_guard.h
+++ b/daemon/proxy/crash_guard.h
@@ -41,9 +41,9 @@
   void on_hearsay(const request_digest& digest);
 
   /// The server's connection ended before the answer to a request did.
-  void on_lost(const std::string& instance_id, const request_digest& digest);
+  void on_lost(const server_run& run);
   /// A request is not waited for any more while the server is at work on it.
-  void on_left(const std::string& instance_id, const request_digest& digest);
+  void on_left(const server_run& run);
   /// The server answered a request that began at `begun`, by a success or a
   /// failure that is the client's if `well`.
   void on_answered(const request_digest& digest, TimePoint begun, bool well);
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -438,13 +438,13 @@
 
 void InboundRequest::noteLeft() {
   if (digest_) {
-    context_.guard.on_left(instance_id_, *digest_);
+    context_.guard.on_left({instance_id_, *digest_, isolated_until_.has_value()});
   }
 }
 
 void InboundRequest::noteLost() {
   if (digest_) {
-    context_.guard.on_lost(instance_id_, *digest_);
+    context_.guard.on_lost({instance_id_, *digest_, isolated_until_.has_value()});
   }
 }
 
