One clock for every age, lease and time-out, which goes on while the machine is suspended

Cause of the matter (the users' new rule): the steady clock stands still during a suspension; only keys and limits were read from one that counts it. Drains, deadlines, peers' silence, Raft's contacts, polls and all timers on both paths were not. Six places named the steady clock. Not shown by a run: a real suspension; nothing on this machine can bring one about in a test.

--- a/common/process.cc
+++ b/common/process.cc
@@ -19,10 +19,6 @@
 
 }  // namespace
 
-TimePoint monotonicNow() {
-  return std::chrono::duration_cast<TimePoint>(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 std::int64_t wallClockMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
--- a/common/process.h
+++ b/common/process.h
@@ -5,12 +5,10 @@
 #include <cstdint>
 #include <functional>
 
-#include "core/time.h"
+#include "common/clock.h"
 
 namespace ramppond {
 
-/// The monotonic clock.
-TimePoint monotonicNow();
 /// Milliseconds of the wall clock since 1970.
 std::int64_t wallClockMs();
 /// A random number from the system; never zero.
--- a/daemon/proxy/forwarded_answer.cc
+++ b/daemon/proxy/forwarded_answer.cc
@@ -219,7 +219,7 @@
     context_.last_failed_forward = EventLoop::now();
   }
   if (counted_by_quota_ && status == kUnavailable) {
-    context_.quotas.on_not_run(tenant_->name, EventLoop::nowWithSuspension());
+    context_.quotas.on_not_run(tenant_->name, EventLoop::now());
   }
   if (status == kUnavailable) {
     context_.counters.refused += 1;
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -106,7 +106,7 @@
   const Credential credential = context_.api.parseCredential(head.all(names.credential));
   head.remove(names.credential);
   head.remove(names.tenant);
-  const authority held = context_.lease.at(EventLoop::nowWithSuspension());
+  const authority held = context_.lease.at(EventLoop::now());
   const identity found = identify(*route_, traffic_->keys, credential, held);
   if (std::holds_alternative<key_refused>(found)) {
     context_.counters.no_tenant += 1;
@@ -130,7 +130,7 @@
   if (tenant_ == nullptr) {
     return true;
   }
-  const auto verdict = context_.quotas.ask(tenant_->name, EventLoop::nowWithSuspension());
+  const auto verdict = context_.quotas.ask(tenant_->name, EventLoop::now());
   counted_by_quota_ = verdict.admitted;
   if (context_.quotas.surging() && context_.on_tenant_surge) {
     context_.on_tenant_surge();
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -118,8 +118,8 @@
   OperatingBounds bounds;
   Random random;
   std::shared_ptr<const TrafficInForce> traffic;
-  authority_lease lease;  ///< On keys; times are EventLoop::nowWithSuspension().
-  quota_gate quotas;      ///< Likewise.
+  authority_lease lease;  ///< On keys.
+  quota_gate quotas;
   InstanceDirectory directory;
   LocalServer server;
   ServerAdmission admission;
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -209,12 +209,11 @@
 
 void ProxyProcess::poll() {
   const TimePoint now = EventLoop::now();
-  const TimePoint asked = EventLoop::nowWithSuspension();
   auto outgoing = session_.takePoll(now);
   if (outgoing) {
     const std::uint64_t poll_id = outgoing->poll_id;
     channels_.request(outgoing->address, outgoing->request, outgoing->timeout,
-                      [this, poll_id, asked](const std::optional<ControlReply>& reply) {
+                      [this, poll_id, asked = now](const std::optional<ControlReply>& reply) {
                         const std::string before = session_.upstream();
                         if (session_.onReply(poll_id, reply, EventLoop::now())) {
                           context_.lease.on_vouched(asked);
@@ -250,7 +249,7 @@
   ControlRequest request;
   request.type = ControlRequestType::kQuotaReport;
   request.quota_report = encode(*report);
-  const TimePoint asked = EventLoop::nowWithSuspension();
+  const TimePoint asked = EventLoop::now();
   channels_.request(
       session_.leader(), request, 2 * kTenantReportInterval,
       [this, asked, sequence = report->sequence](const std::optional<ControlReply>& reply) {
--- a/net/control_protocol.cc
+++ b/net/control_protocol.cc
@@ -1,9 +1,9 @@
 #include "net/control_protocol.h"
 
-#include <chrono>
 #include <future>
 #include <thread>
 
+#include "common/clock.h"
 #include "core/cbor_codec.h"
 
 namespace ramppond {
@@ -47,7 +47,7 @@
 }
 
 std::optional<ControlReply> ControlClient::ask(const ControlRequest& request) {
-  const auto give_up = std::chrono::steady_clock::now() + timeout_;
+  const TimePoint give_up = monotonicNow() + timeout_;
   std::size_t next = 0;
   std::string target = addresses_.empty() ? "" : addresses_.front();
   while (!target.empty()) {
@@ -58,7 +58,7 @@
     if (reply) {
       last_reason_ = target + ": " + reply->reason;
     }
-    if (std::chrono::steady_clock::now() >= give_up) {
+    if (monotonicNow() >= give_up) {
       break;
     }
     const bool hinted = reply && !reply->leader_address.empty() && reply->leader_address != target;
--- a/net/stream/event_loop.cc
+++ b/net/stream/event_loop.cc
@@ -1,17 +1,9 @@
 #include "net/stream/event_loop.h"
 
 #include <boost/asio/post.hpp>
-#include <ctime>
 
 namespace ramppond {
 
-TimePoint EventLoop::nowWithSuspension() {
-  timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return seconds(time.tv_sec) +
-         std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec));
-}
-
 void EventLoop::post(std::function<void()> work) {
   boost::asio::post(context_, std::move(work));
 }
--- a/net/stream/event_loop.h
+++ b/net/stream/event_loop.h
@@ -4,11 +4,12 @@
 #pragma once
 
 #include <array>
+#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 
+#include "common/clock.h"
 #include "core/time.h"
 #include "net/stream/socket_quota.h"
 
@@ -21,13 +22,8 @@
   EventLoop& operator=(const EventLoop&) = delete;
 
   boost::asio::io_context& context() { return context_; }
-  /// The steady clock.
-  [[nodiscard]] static TimePoint now() {
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::steady_clock::now().time_since_epoch());
-  }
-  /// A steady clock that goes on while the machine is suspended; its zero differs from now()'s.
-  [[nodiscard]] static TimePoint nowWithSuspension();
+  /// Read anew each time, not once a turn; see common/clock.h.
+  [[nodiscard]] static TimePoint now() { return monotonicNow(); }
   void run() { context_.run(); }
   void stop() { context_.stop(); }
   /// Runs `work` in a later turn of the loop.
@@ -55,7 +51,7 @@
   void cancel();
 
  private:
-  boost::asio::steady_timer timer_;
+  boost::asio::basic_waitable_timer<SuspensionClock> timer_;
   std::shared_ptr<bool> armed_;
 };
 
