--- a/core/crash_evidence/server_end_watch.h
+++ b/core/crash_evidence/server_end_watch.h
@@ -24,14 +24,14 @@
 struct ended_server {
   std::string instance_id;
   std::vector<request_digest> under_way;  // sorted, each once
-  std::vector<request_digest> isolated;   // likewise; of these, begun under suspicion
+  std::vector<request_digest> isolated;   // likewise; see server_run
 };
 
 /// A run of a request at the server beside this daemon.
 struct server_run {
   std::string instance_id;
   request_digest digest;
-  bool isolated = false;  // it was begun under suspicion
+  bool isolated = false;  // begun under suspicion while no other suspected one ran
 };
 
 class server_end_watch {
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -92,6 +92,7 @@
   std::optional<TimePoint> isolated_until_;
   std::optional<TimePoint> barred_until_;
   bool lightly_suspected_ = false;
+  bool alone_ = false;  ///< It began while no other suspected request ran at the server.
   bool repeatable_ = false;
   bool repeat_ = false;      ///< See kPeerRepeat.
   bool under_way_ = false;   ///< Counted by the admission.
--- /dev/null
+++ b/tests/core/crash_evidence/evidence_session_test.cc
@@ -0,0 +1,223 @@
+// How evidence travels: from a daemon to a member, from member to member, to daemons beside servers
+// of the same service, and again when a member or a leader is lost.
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "core/cbor_codec.h"
+#include "core/control_core.h"
+#include "core/proxy_session.h"
+
+namespace ramppond {
+namespace {
+
+constexpr auto members = std::size_t(3);
+constexpr auto step = milliseconds(10);
+
+auto evidence_of(const std::string& instance, const std::string& service) -> instance_evidence {
+  auto evidence = instance_evidence();
+  evidence.instance_id = instance;
+  evidence.service = service;
+  evidence.revision = 1;
+  evidence.under_way = {{1, 2}};
+  return evidence;
+}
+
+/// Three members and some daemons in virtual time; each daemon polls whom it chooses.
+class control_group : public testing::Test {
+ protected:
+  void SetUp() override {
+    for (auto i = std::size_t(0); i < members; ++i) {
+      this->membership.members.push_back({i + 1, "m" + std::to_string(i), this->address(i), true});
+    }
+    for (auto i = std::size_t(0); i < members; ++i) {
+      this->start(i);
+      this->cores[i]->bootstrapGroup(1, this->membership, this->now);
+    }
+    this->run(seconds(5));
+  }
+  static auto address(std::size_t i) -> std::string { return "10.0.0." + std::to_string(i) + ":1"; }
+
+  void start(std::size_t i) {
+    auto options = ControlOptions();
+    options.name = this->membership.members[i].name;
+    options.address = this->address(i);
+    options.raft.id = i + 1;
+    options.raft.random_seed = i + 1;
+    options.registry_epoch = ++this->epochs;
+    options.session_pull_interval = milliseconds(150);
+    this->cores[i] = std::make_unique<ControlCore>(options, RaftRecovery{}, this->now);
+  }
+
+  auto join(const std::string& name, const std::string& service) -> ProxySession& {
+    auto options = ProxySessionOptions();
+    for (auto i = std::size_t(0); i < members; ++i) {
+      options.seeds.push_back(this->address(i));
+    }
+    options.random_seed = this->daemons.size() + 1;
+    this->daemons.push_back(std::make_unique<ProxySession>(options));
+    auto record = InstanceRecord();
+    record.daemon_address = name;
+    record.service = service;
+    this->daemons.back()->setOwnRecord(record);
+    return *this->daemons.back();
+  }
+
+  void run(Duration time) {
+    for (const auto end = this->now + time; this->now < end; this->now += step) {
+      for (auto d = std::size_t(0); d < this->daemons.size(); ++d) {
+        this->poll(d);
+      }
+      for (auto i = std::size_t(0); i < members; ++i) {
+        if (this->down != i) {
+          this->cores[i]->tick(this->now, 0);
+          this->work(i);
+        }
+      }
+    }
+  }
+
+  void poll(std::size_t daemon) {
+    while (const auto poll = this->daemons[daemon]->takePoll(this->now)) {
+      const auto member = this->index_of(poll->address);
+      if (this->down == member) {
+        this->daemons[daemon]->onReply(poll->poll_id, std::nullopt, this->now);
+        return;
+      }
+      const auto token = ++this->tokens;
+      this->polls[token] = {daemon, poll->poll_id};
+      this->cores[member]->onRequest(token, poll->request, this->now);
+    }
+  }
+
+  static auto index_of(const std::string& address) -> std::size_t {
+    return static_cast<std::size_t>(address.at(7) - '0');
+  }
+
+  void work(std::size_t i) {
+    while (true) {
+      auto work = this->cores[i]->take(this->now);
+      if (work.empty()) {
+        return;
+      }
+      for (const auto& message : work.raft.messages) {
+        const auto to = static_cast<std::size_t>(message.to) - 1;
+        if (this->down != to) {
+          this->cores[to]->onRaftMessage(message, this->address(i), this->now);
+        }
+      }
+      for (const auto& request : work.member_requests) {
+        const auto to = this->index_of(request.address);
+        if (this->down == to) {
+          continue;
+        }
+        const auto token = ++this->tokens;
+        this->pulls[token] = {i, request.request_id};
+        this->cores[to]->onRequest(token, request.request, this->now);
+      }
+      for (const auto& answer : work.answers) {
+        this->deliver(answer);
+      }
+      this->cores[i]->done(work, this->now);
+    }
+  }
+
+  void deliver(const ControlAnswer& answer) {
+    const auto poll = this->polls.find(answer.token);
+    if (poll != this->polls.end()) {
+      const auto asked = poll->second;
+      this->polls.erase(poll);
+      this->daemons[asked.first]->onReply(asked.second, answer.reply, this->now);
+    }
+    const auto pull = this->pulls.find(answer.token);
+    if (pull != this->pulls.end()) {
+      const auto asked = pull->second;
+      this->pulls.erase(pull);
+      this->cores[asked.first]->onMemberReply(asked.second, answer.reply, this->now);
+    }
+  }
+
+  /// Their time-outs, as the driver tells them.
+  void lose_polls_under_way() {
+    for (const auto& [token, asked] : std::exchange(this->polls, {})) {
+      this->daemons[asked.first]->onReply(asked.second, std::nullopt, this->now);
+    }
+  }
+
+  auto instances_told_to(ProxySession& daemon) -> std::vector<std::string> {
+    auto names = std::vector<std::string>();
+    for (const auto& evidence : daemon.takeEvidence()) {
+      names.push_back(evidence.instance_id);
+    }
+    return names;
+  }
+
+  Membership membership;
+  std::unique_ptr<ControlCore> cores[members];
+  std::vector<std::unique_ptr<ProxySession>> daemons;
+  std::map<ControlToken, std::pair<std::size_t, std::uint64_t>> polls;
+  std::map<ControlToken, std::pair<std::size_t, std::uint64_t>> pulls;
+  std::size_t down = members;  // that member stands still
+  std::uint64_t epochs = 0;
+  ControlToken tokens = 0;
+  TimePoint now = seconds(1000);
+};
+
+TEST_F(control_group, takes_evidence_to_the_daemons_of_the_service_within_half_a_second) {
+  auto& teller = this->join("d1", "templates");
+  auto same = std::vector<ProxySession*>();
+  for (auto i = 0; i < 6; ++i) {  // some of them poll other members
+    same.push_back(&this->join("s" + std::to_string(i), "templates"));
+  }
+  auto& other = this->join("d3", "exports");
+  this->run(seconds(3));
+  teller.tellEvidence(evidence_of("i-1", "templates"), this->now);
+  this->run(milliseconds(500));
+  for (auto* daemon : same) {
+    EXPECT_EQ(this->instances_told_to(*daemon), std::vector<std::string>{"i-1"});
+  }
+  EXPECT_TRUE(this->instances_told_to(other).empty());
+  EXPECT_TRUE(this->instances_told_to(teller).empty());
+}
+
+TEST_F(control_group, tells_a_daemon_that_joins_later) {
+  auto& teller = this->join("d1", "templates");
+  this->run(seconds(3));
+  teller.tellEvidence(evidence_of("i-1", "templates"), this->now);
+  this->run(seconds(1));
+  auto& late = this->join("d2", "templates");
+  this->run(seconds(3));
+  EXPECT_EQ(this->instances_told_to(late), std::vector<std::string>{"i-1"});
+}
+
+// The members hold evidence in memory: the daemons tell it again.
+TEST_F(control_group, learns_it_again_after_all_members_were_restarted) {
+  auto& teller = this->join("d1", "templates");
+  this->run(seconds(3));
+  teller.tellEvidence(evidence_of("i-1", "templates"), this->now);
+  this->run(seconds(1));
+  for (auto i = std::size_t(0); i < members; ++i) {
+    this->start(i);
+    this->cores[i]->bootstrapGroup(1, this->membership, this->now);
+  }
+  this->lose_polls_under_way();
+  this->run(seconds(5));
+  auto& late = this->join("d2", "templates");
+  this->run(seconds(3));
+  EXPECT_EQ(this->instances_told_to(late), std::vector<std::string>{"i-1"});
+}
+
+TEST_F(control_group, takes_it_on_by_the_others_when_the_member_that_was_told_is_lost) {
+  auto& teller = this->join("d1", "templates");
+  this->run(seconds(3));
+  teller.tellEvidence(evidence_of("i-1", "templates"), this->now);
+  this->run(milliseconds(400));
+  this->down = this->index_of(teller.upstream());
+  this->lose_polls_under_way();
+  auto& late = this->join("d2", "templates");
+  this->run(seconds(5));
+  EXPECT_EQ(this->instances_told_to(late), std::vector<std::string>{"i-1"});
+}
+
+}  // namespace
+}  // namespace ramppond
--- a/tests/platform/crashing_requests_day_test.cc
+++ b/tests/platform/crashing_requests_day_test.cc
@@ -39,6 +39,18 @@
     return day_.send(static_cast<int>(next_ % Deployment::kServerMachines), request(target, id))
                .status == 200;
   }
+  /// The request is sent until it is refused without a run, twice in a row.
+  bool bar() {
+    int refused = 0;
+    return day_.runUntil([&] {
+      const std::size_t before = crashes();
+      const Answer answer = day_.send(0, request(kHarmful, "harmful-" + std::to_string(next_++)));
+      const bool barred = answer.status == 503 && !answer.retry_after.empty() &&
+                          crashes() == before && serves("/one/beside");
+      refused = barred ? refused + 1 : 0;
+      return refused == 2;
+    });
+  }
 };
 
 // Each time the service is back the same request comes, with a new id and at another daemon.
@@ -59,5 +71,40 @@
   EXPECT_TRUE(day_.runUntil([this] { return allServe("/one/beside"); }));
 }
 
+// The refusal is true, says when it ends, and concerns nothing else.
+TEST_F(CrashingRequestsDay, ABarredRequestIsRefusedAsNotRunAndAllOthersAreServed) {
+  ASSERT_TRUE(bar());
+  Request wanted = request(kHarmful, "barred");
+  const std::size_t before = crashes();
+  const Answer answer = day_.send(1, wanted);
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_FALSE(answer.retry_after.empty());
+  EXPECT_EQ(answer.request_id, "barred");
+  EXPECT_EQ(crashes(), before);
+  ASSERT_TRUE(day_.runUntil([this] { return allServe("/one/beside"); }));
+  for (int number = 0; number < 40; ++number) {
+    const std::string target =
+        number % 2 == 0 ? "/one/beside" : "/one/new-" + std::to_string(number);
+    EXPECT_TRUE(serves(target)) << target;
+  }
+}
+
+// What a daemon knows is gone with its process; the others tell it again.
+TEST_F(CrashingRequestsDay, ADaemonThatStartsAnewLearnsWhatIsBarred) {
+  ASSERT_TRUE(bar());
+  for (const std::size_t machine : {std::size_t{0}, std::size_t{2}}) {
+    day_.proxies[machine].reset();
+    day_.startProxy(static_cast<int>(machine));
+    ASSERT_TRUE(day_.runUntil([this] { return allServe("/one/beside"); }));
+  }
+  const std::size_t before = crashes();
+  for (int number = 0; number < 8; ++number) {
+    const Answer answer = day_.send(number % Deployment::kServerMachines,
+                                    request(kHarmful, "again-" + std::to_string(number)));
+    EXPECT_EQ(answer.status, 503);
+  }
+  EXPECT_EQ(crashes(), before);
+}
+
 }  // namespace
 }  // namespace ramppond::stand_in
