Evidence of ends outlasts a loss of all machines: the control group keeps it in its log

Cause, found by asking what holds after a restart of everything: records lived in memory only, so all were gone with all processes, and a barred request ended servers again.

--- a/core/control_core.cc
+++ b/core/control_core.cc
@@ -219,10 +219,13 @@
   counters_.elections_won += leads && !was_leader_ ? 1 : 0;
   if (leads && !was_leader_) {
     quotas_.restart(now);
+    evidence_kept_ = 0;
   }
   was_leader_ = leads;
   failPendingIfNotLeader();
   changeMembersIfDue(now);
+  keepEvidence(now);
+  takeKeptEvidence(now);
   answerHeldPolls(now);
   proveStateForPolls(now);
   answerHeldProxyPolls(now);
@@ -354,6 +357,7 @@
     const ConfigurationVersion before = state_.configuration().version;
     if (command) {
       result = state_.apply(*command, {entry.term, entry.index});
+      evidence_to_take_ = evidence_to_take_ || command->type == CommandType::kKeepEvidence;
     } else {
       result.error = ErrorKind::kMalformedRequest;
     }
@@ -387,6 +391,7 @@
   state_.setGroupId(raft_.groupId());
   applied_ = snapshot.index;
   snapshots_.on_snapshot({snapshot.state.size()});
+  evidence_to_take_ = true;
   configuration_changed_ = true;
   deltas_.clear();
 }
--- a/core/control_core.h
+++ b/core/control_core.h
@@ -152,6 +152,8 @@
   void answerProxyPoll(ControlToken token, const HeldProxyPoll& held, TimePoint now);
   void answerHeldProxyPolls(TimePoint now);
   const std::string& encodedTraffic();
+  void keepEvidence(TimePoint now);
+  void takeKeptEvidence(TimePoint now);
   void onSessions(ControlToken token, const ControlRequest& request, TimePoint now);
   void requestRead(ControlToken token, const ControlRequest& request);
   void answerRead(std::uint64_t read_id, bool ready);
@@ -191,6 +193,9 @@
   std::map<std::string, KnownRegistry> pulled_registries_;
   InstanceRegistry instances_;
   evidence_registry evidence_;
+  std::uint64_t evidence_kept_ = 0;  ///< Proposed by this leader up to here.
+  TimePoint next_evidence_kept_{0};
+  bool evidence_to_take_ = true;  ///< The replicated state may hold records not in `evidence_`.
   std::map<ControlToken, HeldProxyPoll> proxy_polls_;
   std::vector<Joiner> joiners_;
   TimePoint next_member_change_{0};
--- a/core/control_proxy_polls.cc
+++ b/core/control_proxy_polls.cc
@@ -1,5 +1,6 @@
 // Held polls of the daemons of the forwarding path: routes, records of servers, members.
 #include <algorithm>
+#include <utility>
 
 #include "core/cbor_codec.h"
 #include "core/control_core.h"
@@ -10,6 +11,9 @@
 // A round of confirmation takes a few round trips between members. Without it a poll that is due is
 // answered all the same: news is worth having unconfirmed.
 constexpr Duration kProofWait = milliseconds(250);
+// Ends of servers that come together are kept by one entry of the log.
+constexpr Duration kEvidenceInterval = milliseconds(200);
+constexpr std::size_t kMostEvidenceAnEntry = 32;
 
 }  // namespace
 
@@ -100,6 +104,42 @@
   member_requests_.push_back(std::move(question));
 }
 
+// Members hold evidence in memory and daemons tell it again, but all may lose power at once.
+void ControlCore::keepEvidence(TimePoint now) {
+  if (raft_.role() != RaftRole::kLeader || now < next_evidence_kept_ ||
+      evidence_kept_ == evidence_.counter()) {
+    return;
+  }
+  next_evidence_kept_ = now + kEvidenceInterval;
+  evidence_batch batch;
+  for (const instance_evidence& evidence :
+       evidence_.changes_since(evidence_kept_, std::string(), now)) {
+    if (state_.evidence().wants(evidence) && batch.records.size() < kMostEvidenceAnEntry) {
+      batch.records.push_back(evidence);
+    }
+  }
+  if (batch.records.size() < kMostEvidenceAnEntry) {
+    evidence_kept_ = evidence_.counter();  // Otherwise the rest follows with the next entry.
+  }
+  if (batch.records.empty()) {
+    return;
+  }
+  Command command;
+  command.type = CommandType::kKeepEvidence;
+  command.leader_clock_ms = wall_clock_ms_;
+  command.evidence = encode(batch);
+  raft_.propose(encode(command));
+}
+
+void ControlCore::takeKeptEvidence(TimePoint now) {
+  if (!std::exchange(evidence_to_take_, false)) {
+    return;
+  }
+  for (const instance_evidence& evidence : state_.evidence().records_at(wall_clock_ms_)) {
+    evidence_.offer(evidence, now);
+  }
+}
+
 const std::string& ControlCore::encodedTraffic() {
   if (encoded_traffic_index_ != state_.traffic().logIndex()) {
     encoded_traffic_index_ = state_.traffic().logIndex();
--- a/core/control_state.cc
+++ b/core/control_state.cc
@@ -62,6 +62,8 @@
       return result;
     case CommandType::kReplaceTraffic:
       return replaceTraffic(command, version);
+    case CommandType::kKeepEvidence:
+      return keepEvidence(command);
   }
   return failure(ErrorKind::kMalformedRequest, "unknown type of command");
 }
@@ -165,6 +167,15 @@
   return result;
 }
 
+CommandResult ControlState::keepEvidence(const Command& command) {
+  const auto batch = decode<evidence_batch>(command.evidence);
+  if (!batch) {
+    return failure(ErrorKind::kMalformedRequest, "not a batch of evidence");
+  }
+  evidence_.apply(*batch, command.leader_clock_ms);
+  return {};
+}
+
 ClaimReply ControlState::claim(const ClaimCommand& command, std::int64_t now_ms) {
   ClaimReply reply;
   if (abandoned_.count(command.holder) != 0) {
@@ -266,6 +277,7 @@
     snapshot.results.push_back({id, results_.at(id)});
   }
   snapshot.abandoned.assign(abandoned_order_.begin(), abandoned_order_.end());
+  snapshot.evidence = evidence_.snapshot();
   if (traffic_.logIndex() != 0) {
     snapshot.traffic = encode(traffic_.snapshot());
   }
@@ -287,6 +299,7 @@
   for (const CallId& holder : snapshot.abandoned) {
     abandon(holder);
   }
+  evidence_.restore(snapshot.evidence);
   const auto traffic = decode<TrafficSnapshot>(snapshot.traffic);
   if (traffic) {
     traffic_.restore(*traffic);
--- a/core/control_state.h
+++ b/core/control_state.h
@@ -12,6 +12,7 @@
 
 #include "core/call.h"
 #include "core/configuration.h"
+#include "core/crash_evidence/evidence_log.h"
 #include "core/errors.h"
 #include "core/planning.h"
 #include "core/traffic_state.h"
@@ -26,6 +27,7 @@
   kCompleteClaim = 4,
   kReleaseClaim = 5,
   kReplaceTraffic = 6,
+  kKeepEvidence = 7,
 };
 
 /// The claim part of a command: who wants to run what, or how it went.
@@ -57,6 +59,7 @@
   std::uint64_t plan_id = 0;
   std::vector<ClaimCommand> claims;  ///< Claim commands are batched.
   std::string traffic;               ///< kReplaceTraffic: an encoded TrafficReplacement.
+  std::string evidence;              ///< kKeepEvidence: an encoded evidence_batch.
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
@@ -68,6 +71,7 @@
     visitor(6, plan_id);
     visitor(7, claims);
     visitor(8, traffic);
+    visitor(9, evidence);
   }
 };
 
@@ -171,6 +175,7 @@
   std::vector<RememberedResult> results;
   std::vector<CallId> abandoned;  ///< Attempts that may not claim any more.
   std::string traffic;            ///< An encoded TrafficSnapshot; empty if there is none.
+  std::vector<dated_evidence> evidence;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
@@ -181,6 +186,7 @@
     visitor(4, claims);
     visitor(5, results);
     visitor(7, traffic);
+    visitor(8, evidence);
   }
 };
 
@@ -207,6 +213,7 @@
 
   [[nodiscard]] const Configuration& configuration() const { return configuration_; }
   [[nodiscard]] const TrafficState& traffic() const { return traffic_; }
+  [[nodiscard]] const evidence_log& evidence() const { return evidence_; }
   [[nodiscard]] const Plan* findPlan(std::uint64_t id) const;
   [[nodiscard]] const std::deque<Plan>& plans() const { return plans_; }
   [[nodiscard]] std::size_t claimCount() const { return claims_.size(); }
@@ -220,6 +227,7 @@
   CommandResult plan(const Command& command);
   CommandResult confirm(const Command& command, ConfigurationVersion version);
   CommandResult reject(const Command& command);
+  CommandResult keepEvidence(const Command& command);
   CommandResult replaceTraffic(const Command& command, ConfigurationVersion version);
   ClaimReply claim(const ClaimCommand& command, std::int64_t now_ms);
   void completeClaim(const ClaimCommand& command);
@@ -231,6 +239,7 @@
 
   Configuration configuration_;
   TrafficState traffic_;
+  evidence_log evidence_;
   std::uint64_t next_plan_id_ = 1;
   std::deque<Plan> plans_;
   std::map<std::string, Claim> claims_;
--- /dev/null
+++ b/core/crash_evidence/evidence_log.h
@@ -0,0 +1,57 @@
+// The evidence that the control group keeps on disk: what ended servers is still
+// known after all machines have lost power.
+//
+// Deterministic part of ControlState: a batch carries the proposing leader's
+// clock, and nothing else tells the time.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/crash_evidence/instance_evidence.h"
+
+namespace ramppond {
+
+/// Records that a leader proposes together.
+struct evidence_batch {
+  std::vector<instance_evidence> records;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, records);
+  }
+};
+
+struct dated_evidence {
+  instance_evidence evidence;  // its age is of no meaning
+  std::int64_t when_ms = 0;    // wall clock of a leader, less the age
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    visitor(1, evidence);
+    visitor(2, when_ms);
+  }
+};
+
+class evidence_log {
+ public:
+  void apply(const evidence_batch& batch, std::int64_t leader_clock_ms);
+
+  /// Whether a record would change anything if it were applied. Good ends alone
+  /// are not kept.
+  [[nodiscard]] auto wants(const instance_evidence& evidence) const -> bool;
+  /// With their age by a wall clock; none that is too old.
+  [[nodiscard]] auto records_at(std::int64_t clock_ms) const -> std::vector<instance_evidence>;
+
+  [[nodiscard]] auto snapshot() const -> std::vector<dated_evidence>;
+  void restore(const std::vector<dated_evidence>& records);
+
+ private:
+  void drop_old(std::int64_t clock_ms);
+
+  std::map<std::string, dated_evidence> by_instance;
+};
+
+}  // namespace ramppond
--- a/core/crash_evidence/request_verdicts.cc
+++ b/core/crash_evidence/request_verdicts.cc
@@ -102,13 +102,15 @@
   if (in_force || !this->is_proved(digest, judged, now)) {
     return;
   }
+  auto last_end = TimePoint(0);
   for (const auto& instance : judged.ends) {
-    auto& blamed = this->ends[instance].blamed;
-    blamed = blamed.value_or(digest);
+    auto& ended = this->ends[instance];
+    ended.blamed = ended.blamed.value_or(digest);
+    last_end = std::max(last_end, ended.when);
   }
   judged.bar_length = judged.barred_until ? std::min<Duration>(judged.bar_length * 2, longest_bar)
                                           : Duration(first_bar);
-  judged.barred_until = now + judged.bar_length;
+  judged.barred_until = last_end + judged.bar_length;  // for all daemons, whenever they hear
   this->bars.push_back({digest, judged.ends, judged.bar_length});
 }
 
--- a/tests/platform/crashing_requests_day_test.cc
+++ b/tests/platform/crashing_requests_day_test.cc
@@ -106,5 +106,19 @@
   EXPECT_EQ(crashes(), before);
 }
 
+// Every process is killed at the same moment, and nobody is left to tell.
+TEST_F(CrashingRequestsDay, WhatIsBarredIsKnownAfterTheEndOfAllProcesses) {
+  ASSERT_TRUE(bar());
+  day_.runFor(milliseconds(500));  // The word of the last end is with the control group by then.
+  day_.proxies.clear();
+  day_.control.clear();
+  day_.startControl();
+  day_.startProxies();
+  ASSERT_TRUE(day_.runUntil([this] { return allServe("/one/beside"); }));
+  const std::size_t before = crashes();
+  EXPECT_EQ(day_.send(1, request(kHarmful, "after-all")).status, 503);
+  EXPECT_EQ(crashes(), before);
+}
+
 }  // namespace
 }  // namespace ramppond::stand_in
