Verdicts: what was dropped for want of room may still be named by what stays

Found by reading the diff: ends and requests name each other, and either could be dropped alone: std::map::at threw, which would have ended a daemon after thousands of suspects. A test that floods the table was red (map::at) before. Now dropping an end takes it off its requests, and ends are bounded (1,024) too.

--- a/core/crash_evidence/request_verdicts.cc
+++ b/core/crash_evidence/request_verdicts.cc
@@ -23,6 +23,8 @@
 constexpr auto clearance_lasts = seconds(30);
 // 64 ends of a service with 128 requests under way each.
 constexpr auto most_suspects = std::size_t(8192);
+// Half an hour of ends and of good ends of all servers of a service.
+constexpr auto most_instances = std::size_t(1024);
 
 auto contains(const std::vector<request_digest>& digests, const request_digest& digest) -> bool {
   return std::find(digests.begin(), digests.end(), digest) != digests.end();
@@ -34,12 +36,12 @@
   if (evidence.age < Duration(0) || evidence.age >= evidence_lifetime) {
     return;
   }
-  this->make_room(now);
-  auto& known = this->ends[evidence.instance_id];
-  if (evidence.revision <= known.revision) {
+  const auto known = this->ends.find(evidence.instance_id);
+  if (known != this->ends.end() && evidence.revision <= known->second.revision) {
     return;
   }
-  known.revision = evidence.revision;
+  this->make_room(now);
+  this->ends[evidence.instance_id].revision = evidence.revision;
   if (evidence.age < clearance_lasts) {
     for (const auto& digest : evidence.ended_well) {
       auto& s = this->suspects[digest];
@@ -104,7 +106,7 @@
   }
   auto last_end = TimePoint(0);
   for (const auto& instance : judged.ends) {
-    auto& ended = this->ends[instance];
+    auto& ended = this->ends.at(instance);
     ended.blamed = ended.blamed.value_or(digest);
     last_end = std::max(last_end, ended.when);
   }
@@ -124,7 +126,9 @@
     return false;
   }
   const auto is_other_suspect = [&](const request_digest& other) {
-    return other != digest && this->ends_held(other, this->suspects.at(other), now) >= ends_to_bar;
+    const auto known = this->suspects.find(other);  // it may have been dropped
+    return other != digest && known != this->suspects.end() &&
+           this->ends_held(other, known->second, now) >= ends_to_bar;
   };
   auto found = std::uint32_t(0);
   auto wanted = std::uint32_t(1);
@@ -238,24 +242,42 @@
   return std::exchange(this->bars, {});
 }
 
-// What has aged goes first, then what was under way at the fewest ends. Bars stay: a caller with
-// many identities must not be able to push them out.
+// An end and the requests that were under way at it name each other: both sides are dropped.
+void request_verdicts::drop_end(const std::string& instance_id) {
+  this->remove_end(instance_id);
+  this->ends.erase(instance_id);
+}
+
+// Of ends, those that have aged and then the oldest go.
 void request_verdicts::make_room(TimePoint now) {
-  if (this->suspects.size() < most_suspects) {
-    return;
+  if (this->ends.size() >= most_instances) {
+    auto oldest = std::vector<std::pair<TimePoint, std::string>>();
+    for (const auto& [instance, ended] : this->ends) {
+      oldest.emplace_back(ended.when, instance);
+    }
+    std::sort(oldest.begin(), oldest.end());
+    for (auto i = std::size_t(0); i < oldest.size(); ++i) {
+      const auto has_aged = now - oldest[i].first >= evidence_lifetime;
+      if (has_aged || i < most_instances / 2) {
+        this->drop_end(oldest[i].second);
+      }
+    }
   }
-  for (auto s = this->ends.begin(); s != this->ends.end();) {
-    s = now - s->second.when >= evidence_lifetime ? this->ends.erase(s) : std::next(s);
+  if (this->suspects.size() >= most_suspects) {
+    this->drop_suspects(now);
   }
-  for (auto least = std::uint32_t(1); this->suspects.size() > most_suspects / 2; ++least) {
+}
+
+// What was under way at the fewest ends goes first. Bars stay: a caller with many identities must
+// not be able to push them out.
+void request_verdicts::drop_suspects(TimePoint now) {
+  for (auto least = std::uint32_t(1);
+       least <= ends_for_trial + 1 && this->suspects.size() > most_suspects / 2; ++least) {
     for (auto s = this->suspects.begin(); s != this->suspects.end();) {
       const auto is_barred = s->second.barred_until && now < *s->second.barred_until;
       const auto goes = !is_barred && this->ends_held(s->first, s->second, now) < least;
       s = goes ? this->suspects.erase(s) : std::next(s);
     }
-    if (least > ends_for_trial) {
-      return;
-    }
   }
 }
 
--- a/core/crash_evidence/request_verdicts.h
+++ b/core/crash_evidence/request_verdicts.h
@@ -66,6 +66,7 @@
   /// Requests that were barred and then ended well: verdicts that were wrong.
   [[nodiscard]] auto withdrawn() const -> std::uint64_t { return this->bars_withdrawn; }
   [[nodiscard]] auto size() const -> std::size_t { return this->suspects.size(); }
+  [[nodiscard]] auto known_instances() const -> std::size_t { return this->ends.size(); }
 
  private:
   struct suspect {
@@ -93,6 +94,8 @@
       -> std::size_t;
   void clear(const request_digest& digest, suspect& cleared, TimePoint now);
   void make_room(TimePoint now);
+  void drop_end(const std::string& instance_id);
+  void drop_suspects(TimePoint now);
   [[nodiscard]] auto counts(const suspect& judged, const instance_end& ended, TimePoint now) const
       -> bool;
   [[nodiscard]] auto ends_held(const request_digest& digest, const suspect& judged,
--- a/tests/core/crash_evidence/request_verdicts_test.cc
+++ b/tests/core/crash_evidence/request_verdicts_test.cc
@@ -198,5 +198,31 @@
   EXPECT_EQ(name_of(verdicts.of(harmful, now)), "barred");
 }
 
+// What is dropped for want of room may still be named by what stays.
+TEST(request_verdicts, outlive_the_records_and_requests_that_were_dropped) {
+  auto verdicts = request_verdicts();
+  auto next = std::uint64_t(10);
+  const auto flood = [&](TimePoint when) {
+    for (auto instance = 0; instance < 80; ++instance) {
+      auto under_way = std::vector<request_digest>{harmful};
+      for (auto request = 0; request < 200; ++request) {
+        under_way.push_back({next, next});
+        ++next;
+      }
+      verdicts.on_evidence(end_of("i-" + std::to_string(next), under_way, {harmful}), when);
+    }
+  };
+  flood(now);
+  EXPECT_EQ(name_of(verdicts.of(harmful, now)), "barred");
+  flood(now + evidence_lifetime);
+  flood(now + 2 * evidence_lifetime);
+  EXPECT_EQ(name_of(verdicts.of(harmful, now + 2 * evidence_lifetime)), "barred");
+  for (auto instance = 0; instance < 5000; ++instance) {
+    verdicts.on_evidence(good_end_at("quiet-" + std::to_string(instance), beside),
+                         now + 2 * evidence_lifetime);
+  }
+  EXPECT_LE(verdicts.known_instances(), 1024U);
+}
+
 }  // namespace
 }  // namespace ramppond
