--- a/net/stream/http_server.cc
+++ b/net/stream/http_server.cc
@@ -272,7 +272,11 @@
 
 void HttpServerConnection::unregister() {
   const auto self = std::static_pointer_cast<HttpServerConnection>(shared_from_this());
-  loop().post([self] { self->server_.connections_.erase(self); });
+  loop().post([self, server_alive = server_.alive_] {
+    if (*server_alive) {
+      self->server_.connections_.erase(self);
+    }
+  });
 }
 
 void HttpServerConnection::onEnd(ConnectionEnd /*end*/) {
@@ -414,6 +418,7 @@
       sweep_timer_(loop) {}
 
 StreamHttpServer::~StreamHttpServer() {
+  *alive_ = false;
   const auto connections = std::exchange(connections_, {});
   for (const auto& connection : connections) {
     connection->abort(false);
--- a/net/stream/http_server.h
+++ b/net/stream/http_server.h
@@ -150,6 +150,7 @@
   LoopTimer sweep_timer_;
   std::set<std::shared_ptr<HttpServerConnection>> connections_;
   std::size_t under_way_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   /// Connections may outlive the server for a moment.
   std::shared_ptr<std::size_t> standing_ = std::make_shared<std::size_t>(0);
   bool draining_ = false;
