Suspects that wait: no lost turn, a probe that gets no answer is not the last one, no word of fullness for it

Found by reading the diff as a newcomer: a request that began to wait could put off the turn of those before it (one timer for two ends); a probe without an answer was never replaced, so ends went unseen from then on; a refusal of a suspect counted as a full server at the sender and moved the load of others. Change: one schedule, three answers of a probe, an outcome of its own (elsewhere). WhatWasUnderWayAtOneEndIsServedByAnother covers the turns (it is new, not seen red).

--- a/core/crash_evidence/isolation_lane.h
+++ b/core/crash_evidence/isolation_lane.h
@@ -34,6 +34,7 @@
   /// When take_expired() may next give something.
   [[nodiscard]] auto next_expiry() const -> std::optional<TimePoint>;
 
+  [[nodiscard]] auto is_free() const -> bool { return !this->holder; }
   [[nodiscard]] auto waiting() const -> std::size_t { return this->queue.size(); }
 
  private:
--- a/core/crash_evidence/request_verdicts.cc
+++ b/core/crash_evidence/request_verdicts.cc
@@ -234,10 +234,6 @@
   return suspected{std::max(held, std::uint32_t(1))};
 }
 
-auto request_verdicts::is_suspect(const request_digest& digest, TimePoint now) const -> bool {
-  return !std::holds_alternative<unsuspected>(this->of(digest, now));
-}
-
 auto request_verdicts::take_bars() -> std::vector<bar_verdict> {
   return std::exchange(this->bars, {});
 }
--- a/core/crash_evidence/request_verdicts.h
+++ b/core/crash_evidence/request_verdicts.h
@@ -17,7 +17,6 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -59,7 +58,6 @@
   auto on_good_end(const request_digest& digest, TimePoint now) -> bool;
 
   [[nodiscard]] auto of(const request_digest& digest, TimePoint now) const -> standing;
-  [[nodiscard]] auto is_suspect(const request_digest& digest, TimePoint now) const -> bool;
 
   /// Verdicts found since the last call.
   auto take_bars() -> std::vector<bar_verdict>;
--- a/daemon/proxy/crash_guard.cc
+++ b/daemon/proxy/crash_guard.cc
@@ -15,6 +15,7 @@
 // still stand after the last of these the server lives.
 constexpr auto check_interval = milliseconds(2);
 constexpr auto most_checks = std::uint32_t(5);
+
 auto join(const std::vector<request_digest>& digests) -> std::string {
   auto text = std::string();
   for (const auto& digest : digests) {
@@ -91,17 +92,22 @@
     }
     return;
   }
-  this->probe = std::make_shared<server_probe>(this->context.loop,
-                                               [this](bool refused) { this->on_probed(refused); });
+  this->probe = std::make_shared<server_probe>(
+      this->context.loop, [this](probe_answer answer) { this->on_probed(answer); });
   this->probe->start(this->context.settings.server_address);
 }
 
-void crash_guard::on_probed(bool refused) {
+void crash_guard::on_probed(probe_answer answer) {
   this->probe.reset();
-  if (refused) {
-    this->context.noteServerRefusal(this->context.server.heartbeat().instance_id);
-  } else {
-    this->ledger.on_alive(EventLoop::now());
+  switch (answer) {
+    case probe_answer::listens:
+      this->ledger.on_alive(EventLoop::now());
+      break;
+    case probe_answer::refuses:
+      this->context.noteServerRefusal(this->context.server.heartbeat().instance_id);
+      break;
+    case probe_answer::unknown:
+      break;  // its next instance, or a later loss, tells
   }
 }
 
@@ -161,8 +167,7 @@
     return true;
   }
   this->waiting[id] = request;
-  this->pump_timer.after(std::max(give_up - EventLoop::now(), Duration(0)),
-                         [this] { this->pump(); });
+  this->schedule_pump();
   return false;
 }
 
@@ -170,9 +175,16 @@
 void crash_guard::leave(isolation_lane::request_id id) {
   this->lane.leave(id);
   this->waiting.erase(id);
-  if (this->lane.waiting() > 0) {
-    this->pump_timer.after(Duration(0), [this] { this->pump(); });
+  this->schedule_pump();
+}
+
+void crash_guard::schedule_pump() {
+  const auto next = this->lane.next_expiry();
+  if (!next) {
+    return;  // nobody waits
   }
+  const auto wait = this->lane.is_free() ? Duration(0) : *next - EventLoop::now();
+  this->pump_timer.after(std::max(wait, Duration(0)), [this] { this->pump(); });
 }
 
 void crash_guard::pump() {
@@ -197,10 +209,7 @@
     }
     request->onAlone();
   }
-  const auto next = this->lane.next_expiry();
-  if (next) {
-    this->pump_timer.after(std::max(*next - now, Duration(0)), [this] { this->pump(); });
-  }
+  this->schedule_pump();
 }
 
 // A verdict on one request may clear the others.
--- a/daemon/proxy/crash_guard.h
+++ b/daemon/proxy/crash_guard.h
@@ -14,13 +14,13 @@
 
 #include "core/crash_evidence/crash_ledger.h"
 #include "core/crash_evidence/isolation_lane.h"
+#include "daemon/proxy/server_probe.h"
 #include "net/stream/event_loop.h"
 
 namespace ramppond {
 
 struct ProxyContext;
 class InboundRequest;
-class server_probe;
 
 class crash_guard {
  public:
@@ -60,10 +60,11 @@
 
  private:
   void check_server();
-  void on_probed(bool refused);
+  void on_probed(probe_answer answer);
   [[nodiscard]] auto server() const -> server_instance;
   void tell_news();
   void pump();
+  void schedule_pump();
   void reconsider_waiting();
 
   ProxyContext& context;
--- a/daemon/proxy/forwarded_answer.cc
+++ b/daemon/proxy/forwarded_answer.cc
@@ -43,6 +43,8 @@
   } else if (kind == kOutcomeFenced) {
     own_answer_end_ = AttemptEnd::kNotSent;
     context_.directory.onFenced(*instance_, EventLoop::now());
+  } else if (kind == kOutcomeElsewhere) {
+    own_answer_end_ = AttemptEnd::kNotSent;
   } else if (kind == kOutcomeBarred) {
     own_answer_end_ = AttemptEnd::kBarred;
     barred_for_ = parseMilliseconds(head.find(kPeerBarredMs));
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -97,7 +97,7 @@
                           if (context_.guard.has_trial(*digest_)) {
                             isolate(kIsolationDivisor);
                           } else {
-                            refuse(kOutcomeBusy, "tried elsewhere", kUnavailable);
+                            refuse(kOutcomeElsewhere, "tried elsewhere", kUnavailable);
                           }
                         },
                         [&](const barred& b) { refuseBarred(b.until); }},
@@ -130,7 +130,7 @@
   if (lightly_suspected_) {
     askAdmission();
   } else {
-    refuse(kOutcomeBusy, "not alone", kUnavailable);
+    refuse(kOutcomeElsewhere, "not alone", kUnavailable);
   }
 }
 
--- a/daemon/proxy/peer_headers.h
+++ b/daemon/proxy/peer_headers.h
@@ -53,6 +53,8 @@
 constexpr std::string_view kOutcomeBusy = "busy";
 /// It was not handed to the server: that instance takes no requests any more.
 constexpr std::string_view kOutcomeFenced = "fenced";
+/// It was not handed to this server, for what is known of the request, not for want of room.
+constexpr std::string_view kOutcomeElsewhere = "elsewhere";
 /// It was not handed to the server and will not be anywhere: it ends the servers that run it.
 constexpr std::string_view kOutcomeBarred = "barred";
 /// The server received it and says that it did not run.
--- a/daemon/proxy/server_probe.cc
+++ b/daemon/proxy/server_probe.cc
@@ -9,7 +9,7 @@
 
 }  // namespace
 
-server_probe::server_probe(EventLoop& loop, std::function<void(bool refused)> done)
+server_probe::server_probe(EventLoop& loop, std::function<void(probe_answer)> done)
     : TcpConnection(loop), done(std::move(done)) {}
 
 void server_probe::start(const Endpoint& endpoint) {
@@ -18,13 +18,12 @@
 
 void server_probe::onConnected() {
   this->abort(false);
-  this->done(false);
+  this->done(probe_answer::listens);
 }
 
 void server_probe::onConnectFailed(ConnectFailure failure) {
-  if (failure == ConnectFailure::kRefused) {
-    this->done(true);
-  }
+  const auto refuses = failure == ConnectFailure::kRefused;
+  this->done(refuses ? probe_answer::refuses : probe_answer::unknown);
 }
 
 void server_probe::onData(std::string_view /*bytes*/) {}
--- a/daemon/proxy/server_probe.h
+++ b/daemon/proxy/server_probe.h
@@ -2,17 +2,23 @@
 // nothing is sent.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 
 #include "net/stream/tcp_connection.h"
 
 namespace ramppond {
 
+enum class probe_answer : std::uint8_t {
+  listens,
+  refuses,
+  unknown,  // nothing came, or this process has no socket left
+};
+
 class server_probe : public TcpConnection {
  public:
-  /// Calls back with whether the address refused; not called if the answer
-  /// tells nothing of the server, or after abort().
-  server_probe(EventLoop& loop, std::function<void(bool refused)> done);
+  /// Calls back once, but not after abort().
+  server_probe(EventLoop& loop, std::function<void(probe_answer)> done);
   void start(const Endpoint& endpoint);
 
  private:
@@ -21,7 +27,7 @@
   void onData(std::string_view bytes) override;
   void onEnd(ConnectionEnd end) override;
 
-  std::function<void(bool refused)> done;
+  std::function<void(probe_answer)> done;
 };
 
 }  // namespace ramppond
--- a/tests/core/crash_evidence/request_verdicts_test.cc
+++ b/tests/core/crash_evidence/request_verdicts_test.cc
@@ -166,18 +166,18 @@
 TEST(request_verdicts, hearsay_lasts_until_the_record_can_have_come) {
   auto verdicts = request_verdicts();
   verdicts.on_hearsay(harmful, now);
-  EXPECT_TRUE(verdicts.is_suspect(harmful, now));
-  EXPECT_FALSE(verdicts.is_suspect(harmful, now + seconds(10)));
+  EXPECT_EQ(name_of(verdicts.of(harmful, now)), "suspected");
+  EXPECT_EQ(name_of(verdicts.of(harmful, now + seconds(10))), "unsuspected");
 }
 
 TEST(request_verdicts, old_ends_count_no_more) {
   auto verdicts = request_verdicts();
   verdicts.on_evidence(end_of("a", {harmful}), now);
-  EXPECT_FALSE(verdicts.is_suspect(harmful, now + evidence_lifetime));
+  EXPECT_EQ(name_of(verdicts.of(harmful, now + evidence_lifetime)), "unsuspected");
   auto old = end_of("b", {beside});
   old.age = evidence_lifetime;
   verdicts.on_evidence(old, now);
-  EXPECT_FALSE(verdicts.is_suspect(beside, now));
+  EXPECT_EQ(name_of(verdicts.of(beside, now)), "unsuspected");
 }
 
 // A caller with a new identity for each request fills nothing and pushes no bar out.
--- a/tests/platform/crashing_requests_day_test.cc
+++ b/tests/platform/crashing_requests_day_test.cc
@@ -71,6 +71,30 @@
   EXPECT_TRUE(day_.runUntil([this] { return allServe("/one/beside"); }));
 }
 
+// Whoever was beside has the next turn at another server, one after the other, and is served.
+TEST_F(CrashingRequestsDay, WhatWasUnderWayAtOneEndIsServedByAnother) {
+  constexpr int kClients = 1;
+  constexpr std::size_t kRequests = 8;
+  for (int earned = 0; earned < 80; ++earned) {  // Repeats are paid for by first sends.
+    ASSERT_EQ(day_.send(kClients, request("/one/e", "earn-" + std::to_string(earned))).status, 200);
+  }
+  for (const auto& server : day_.servers) {
+    server->work = milliseconds(100);
+  }
+  std::map<std::string, Answer> answers;
+  for (std::size_t number = 0; number < kRequests; ++number) {
+    const std::string id = "beside-" + std::to_string(number);
+    day_.sendLater(kClients, request("/one/" + id, id),
+                   [&answers, id](const Answer& answer) { answers[id] = answer; });
+  }
+  day_.runFor(milliseconds(30));
+  day_.servers[0]->crash();
+  EXPECT_TRUE(day_.runUntil([&] { return answers.size() == kRequests; }));
+  for (const auto& [id, answer] : answers) {
+    EXPECT_EQ(answer.status, 200) << id;
+  }
+}
+
 // The refusal is true, says when it ends, and concerns nothing else.
 TEST_F(CrashingRequestsDay, ABarredRequestIsRefusedAsNotRunAndAllOthersAreServed) {
   ASSERT_TRUE(bar());
