--- a/tests/core/crash_evidence/crash_fleet_test.cc
+++ b/tests/core/crash_evidence/crash_fleet_test.cc
@@ -28,7 +28,7 @@
 constexpr auto poll_interval = milliseconds(20);
 constexpr auto pull_interval = milliseconds(150);
 constexpr auto members = std::size_t(3);
-constexpr auto word_travels = seconds(3);  // what users allow
+constexpr auto word_travels = seconds(3);  // the longest that it may take
 constexpr auto popular_requests = std::uint64_t(50);
 
 auto is_harmful(const request_digest& digest) -> bool {
