A server that starts again under its id is another incarnation; reports of another writer change nothing

Cause: nothing read when a server started, so a restart under the same id was taken for the same server: its heartbeats (their numbers begin anew) were passed over as late ones, a leave of its former life held for ever, and requests, times and evidence of both lives were one. A heartbeat with a state or a service that is not known was taken over. Ruled out: clearing what is known when a number runs backwards (a late heartbeat looks the same). Change: an incarnation is id and start; daemons, records and evidence name it, only the server itself is asked by its plain id. The later start lives; one that looks older since a clock was set back is taken once the other is silent for ten seconds. A leave may tell the start, too. Heartbeats whose state or start cannot be read, or whose service no configuration defines, are refused with a line report_refused. Measured: LocalServer has four new tests, red with the incarnation's name cut back to the id; nine kinds of unreadable heartbeats and a leave in PlatformApi.

--- a/core/external_api.h
+++ b/core/external_api.h
@@ -78,6 +78,8 @@
                                                                const std::string& body) const = 0;
   [[nodiscard]] virtual Parsed<TrafficReplacement> parseReplacement(
       const std::string& base_version, const std::string& body) const = 0;
+  [[nodiscard]] virtual Parsed<ServerLeave> parseLeave(const std::string& instance_id,
+                                                       const std::string& body) const = 0;
   /// From texts of the form NAME=VALUE. Names that are not known are passed over.
   [[nodiscard]] virtual Parsed<OperatingBounds> parseBounds(
       const std::vector<std::string>& texts) const = 0;
--- a/core/local_server.cc
+++ b/core/local_server.cc
@@ -1,25 +1,36 @@
 #include "core/local_server.h"
 
+#include <utility>
+
 namespace ramppond {
 namespace {
 
 constexpr std::size_t kRememberedInstances = 64;
+// A clock that was set back makes a new server look older than the one before it. Three heartbeats
+// of the usual three seconds are missed by then.
+constexpr Duration kSilenceBeforeOlderReturns = seconds(10);
 
 }  // namespace
 
+std::string incarnationName(const std::string& instance_id,
+                            std::optional<std::int64_t> started_ms) {
+  return started_ms ? instance_id + "@" + std::to_string(*started_ms) : instance_id;
+}
+
 bool LocalServer::onHeartbeat(const ServerHeartbeat& heartbeat, TimePoint now) {
-  const bool first = past_.count(heartbeat.instance_id) == 0;
+  const std::string incarnation = heartbeat.incarnation();
+  const bool first = past_.count(incarnation) == 0;
   if (first) {
     forgetOldest();
   }
-  Past& past = past_[heartbeat.instance_id];
+  Past& past = past_[incarnation];
   if (past.left || (!first && heartbeat.sequence <= past.sequence)) {
     return false;
   }
   past.sequence = heartbeat.sequence;
   past.draining = heartbeat.draining;
-  const bool same = known_ && current_.instance_id == heartbeat.instance_id;
-  if (known_ && !same && !first && !mayReturn(heartbeat)) {
+  const bool same = known_ && current_.incarnation() == incarnation;
+  if (known_ && !same && !maySucceed(heartbeat, first, now)) {
     return false;
   }
   insisting_.clear();
@@ -31,23 +42,35 @@
   known_ = true;
   draining_ = heartbeat.draining;
   current_ = heartbeat;
+  heard_ = now;
   return changed;
 }
 
-// Of two instances at one address the one that has sent fewer heartbeats began later, so it is the
-// one that lives. One that goes on to send while the other is silent lives too, whatever its count.
-bool LocalServer::mayReturn(const ServerHeartbeat& heartbeat) {
-  const bool insists = insisting_ == heartbeat.instance_id;
-  insisting_ = heartbeat.instance_id;
-  return insists || heartbeat.sequence < current_.sequence;
+// Of two servers at one address the one that started later lives, whatever comes late of the other.
+// Where they do not tell when they started, the one that has sent fewer heartbeats began later. One
+// that goes on to send while the other is silent lives too, whatever its count.
+bool LocalServer::maySucceed(const ServerHeartbeat& heartbeat, bool first, TimePoint now) {
+  const std::string incarnation = heartbeat.incarnation();
+  const bool insists = std::exchange(insisting_, incarnation) == incarnation;
+  if (heartbeat.started_ms && current_.started_ms &&
+      *heartbeat.started_ms != *current_.started_ms) {
+    const bool later = *heartbeat.started_ms > *current_.started_ms;
+    return later || (insists && now - heard_ >= kSilenceBeforeOlderReturns);
+  }
+  return first || insists || heartbeat.sequence < current_.sequence;
 }
 
-bool LocalServer::onLeave(const std::string& instance_id, TimePoint now) {
-  if (past_.count(instance_id) == 0) {
+bool LocalServer::onLeave(const ServerLeave& leave, TimePoint now) {
+  const std::string current = known_ ? current_.incarnation() : std::string();
+  const bool of_current =
+      known_ && !leave.started_ms && current_.instance_id == leave.instance_id;
+  const std::string leaving =
+      of_current ? current : incarnationName(leave.instance_id, leave.started_ms);
+  if (past_.count(leaving) == 0) {
     forgetOldest();
   }
-  past_[instance_id].left = true;
-  if (!known_ || current_.instance_id != instance_id || draining_) {
+  past_[leaving].left = true;
+  if (current != leaving || draining_) {
     return false;
   }
   draining_ = true;
@@ -55,29 +78,29 @@
   return true;
 }
 
-bool LocalServer::onWrongInstance(const std::string& instance_id) {
-  if (!known_ || current_.instance_id != instance_id) {
+bool LocalServer::onWrongInstance(const std::string& incarnation) {
+  if (!known_ || current_.incarnation() != incarnation) {
     return false;
   }
   known_ = false;
   return true;
 }
 
-bool LocalServer::onConnectionRefused(const std::string& instance_id, std::size_t established) {
-  return established == 0 && onWrongInstance(instance_id);
+bool LocalServer::onConnectionRefused(const std::string& incarnation, std::size_t established) {
+  return established == 0 && onWrongInstance(incarnation);
 }
 
-bool LocalServer::announcedEnd(const std::string& instance_id) const {
-  const auto past = past_.find(instance_id);
+bool LocalServer::announcedEnd(const std::string& incarnation) const {
+  const auto past = past_.find(incarnation);
   return past != past_.end() && (past->second.left || past->second.draining);
 }
 
-FenceVerdict LocalServer::admit(const std::string& instance_id, const std::string& service,
+FenceVerdict LocalServer::admit(const std::string& incarnation, const std::string& service,
                                 TimePoint now) const {
   if (!known_) {
     return FenceVerdict::kNoServer;
   }
-  if (current_.instance_id != instance_id || current_.service != service) {
+  if (current_.incarnation() != incarnation || current_.service != service) {
     return FenceVerdict::kOtherInstance;
   }
   if (draining_ && now - draining_since_ > draining_admission_) {
@@ -91,7 +114,7 @@
   if (!known_) {
     return record;
   }
-  record.instance_id = current_.instance_id;
+  record.instance_id = current_.incarnation();
   record.service = current_.service;
   record.slots = current_.slots;
   record.cold_left = current_.cold_left;
@@ -104,7 +127,7 @@
     return;
   }
   for (auto past = past_.begin(); past != past_.end(); ++past) {
-    if (!known_ || past->first != current_.instance_id) {
+    if (!known_ || past->first != current_.incarnation()) {
       past_.erase(past);
       return;
     }
--- a/core/local_server.h
+++ b/core/local_server.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "core/instance_registry.h"
@@ -14,24 +15,37 @@
 
 namespace ramppond {
 
+/// Names one life of a server to all daemons. A server may start again under the identity that it
+/// had: whatever is known of, or sent to, its former life does not concern the new one.
+std::string incarnationName(const std::string& instance_id, std::optional<std::int64_t> started_ms);
+
 /// One heartbeat.
 struct ServerHeartbeat {
-  std::string instance_id;
+  std::string instance_id;                 ///< As the server knows itself.
+  std::optional<std::int64_t> started_ms;  ///< Unix time of its start, if it tells.
   std::string service;
   std::string address;  ///< HOST:PORT where the server takes requests.
   std::string zone;
   std::uint32_t slots = 0;
   bool draining = false;
   Duration cold_left{0};
-  std::uint64_t sequence = 0;  ///< Rises with each heartbeat of one instance.
+  std::uint64_t sequence = 0;  ///< Rises with each heartbeat of one incarnation.
+
+  [[nodiscard]] std::string incarnation() const { return incarnationName(instance_id, started_ms); }
+};
+
+/// A server's word that it is about to end.
+struct ServerLeave {
+  std::string instance_id;
+  std::optional<std::int64_t> started_ms;  ///< As in ServerHeartbeat.
 };
 
-/// Why the server takes no request for an instance, if it takes none.
+/// Why the server takes no request for an incarnation, if it takes none.
 enum class FenceVerdict : std::uint8_t {
   kAdmit = 0,
   kNoServer,       ///< No server has been heard, or it has left.
-  kOtherInstance,  ///< Another instance, or another service, runs here now.
-  kDraining,       ///< The instance is leaving and the time for new requests has passed.
+  kOtherInstance,  ///< Another incarnation, or another service, runs here now.
+  kDraining,       ///< The incarnation is leaving and the time for new requests has passed.
 };
 
 class LocalServer {
@@ -43,20 +57,21 @@
   /// Returns whether anything that others must know has changed. Late heartbeats change nothing,
   /// also those that were held up until another instance had registered.
   bool onHeartbeat(const ServerHeartbeat& heartbeat, TimePoint now);
-  /// The instance has left or is about to end; it is never taken back.
-  bool onLeave(const std::string& instance_id, TimePoint now);
-  /// The server said that it is another instance than the one last heard.
-  bool onWrongInstance(const std::string& instance_id);
+  /// The incarnation has left or is about to end; it is never taken back. A leave that does not tell
+  /// when its sender started is that of the current incarnation.
+  bool onLeave(const ServerLeave& leave, TimePoint now);
+  /// The server said that it is another one than `incarnation`, the one last heard.
+  bool onWrongInstance(const std::string& incarnation);
 
   /// The server's address refused a connection while `established` others to it stood. Without any
-  /// the instance has ended without a word; one that holds some takes no more just now. Returns
+  /// the server has ended without a word; one that holds some takes no more just now. Returns
   /// whether it is taken to have ended.
-  bool onConnectionRefused(const std::string& instance_id, std::size_t established);
+  bool onConnectionRefused(const std::string& incarnation, std::size_t established);
 
-  [[nodiscard]] FenceVerdict admit(const std::string& instance_id, const std::string& service,
+  [[nodiscard]] FenceVerdict admit(const std::string& incarnation, const std::string& service,
                                    TimePoint now) const;
-  /// Whether the instance said that it leaves: its end is planned.
-  [[nodiscard]] bool announcedEnd(const std::string& instance_id) const;
+  /// Whether the incarnation said that it leaves: its end is planned.
+  [[nodiscard]] bool announcedEnd(const std::string& incarnation) const;
   [[nodiscard]] bool known() const { return known_; }
   [[nodiscard]] const ServerHeartbeat& heartbeat() const { return current_; }
   /// The record that the daemon tells; address, zone and numbers are the caller's to fill in.
@@ -69,16 +84,17 @@
     bool draining = false;
   };
   void forgetOldest();
-  /// Whether an instance that gave way to the current one may be current again.
-  bool mayReturn(const ServerHeartbeat& heartbeat);
+  /// Whether another incarnation than the current one may take its place.
+  bool maySucceed(const ServerHeartbeat& heartbeat, bool first, TimePoint now);
 
   Duration draining_admission_;
   bool known_ = false;
   bool draining_ = false;
   TimePoint draining_since_{0};
   ServerHeartbeat current_;
-  std::map<std::string, Past> past_;
-  std::string insisting_;  ///< A former instance, heard once since the current one was.
+  TimePoint heard_{0};                ///< When the current incarnation was heard last.
+  std::map<std::string, Past> past_;  ///< By incarnation.
+  std::string insisting_;             ///< A former one, heard once since the current one was.
 };
 
 }  // namespace ramppond
--- a/daemon/proxy/crash_guard.cc
+++ b/daemon/proxy/crash_guard.cc
@@ -45,7 +45,7 @@
 
 auto crash_guard::server() const -> server_instance {
   const auto& heartbeat = this->context.server.heartbeat();
-  return {heartbeat.instance_id, heartbeat.service};
+  return {heartbeat.incarnation(), heartbeat.service};
 }
 
 auto crash_guard::judge(const request_digest& digest) const -> standing {
@@ -104,27 +104,27 @@
       this->ledger.on_alive(EventLoop::now());
       break;
     case probe_answer::refuses:
-      this->context.noteServerRefusal(this->context.server.heartbeat().instance_id);
+      this->context.noteServerRefusal(this->context.server.heartbeat().incarnation());
       break;
     case probe_answer::unknown:
       break;  // its next instance, or a later loss, tells
   }
 }
 
-void crash_guard::on_server_gone(const std::string& instance_id) {
+void crash_guard::on_server_gone(const std::string& incarnation) {
   const auto now = EventLoop::now();
-  if (this->context.server.announcedEnd(instance_id)) {
+  if (this->context.server.announcedEnd(incarnation)) {
     this->ledger.on_alive(now);  // it ended as planned
     return;
   }
-  const auto report = this->ledger.on_server_gone({instance_id, this->server().service}, now);
+  const auto report = this->ledger.on_server_gone({incarnation, this->server().service}, now);
   if (!report) {
     return;
   }
   this->context.counters.server_ends += 1;
   this->context.counters.ended_under_way += report->under_way;
   logEvent(now.count(), "server_ended",
-           {{"instance", instance_id},
+           {{"instance", incarnation},
             {"under_way", std::to_string(report->under_way)},
             {"digests", join(report->candidates)},
             {"isolated", join(report->isolated)}});
--- a/daemon/proxy/crash_guard.h
+++ b/daemon/proxy/crash_guard.h
@@ -47,9 +47,9 @@
   /// The server answered a request that began at `begun`, by a success or a
   /// failure that is the client's if `well`.
   void on_answered(const request_digest& digest, TimePoint begun, bool well);
-  /// `instance_id` has ended: its address refuses connections and none stands,
+  /// `incarnation` has ended: its address refuses connections and none stands,
   /// or another instance is there.
-  void on_server_gone(const std::string& instance_id);
+  void on_server_gone(const std::string& incarnation);
 
   /// Whether a suspected request may go on at once; otherwise its onAlone() or,
   /// at `give_up`, its onIsolationEnded() follows.
--- a/daemon/proxy/inbound_answer.cc
+++ b/daemon/proxy/inbound_answer.cc
@@ -46,7 +46,7 @@
   if (not_run) {
     context_.counters.server_not_run += 1;
     discarding_ = true;
-    if (head.status == kMisdirected && context_.server.onWrongInstance(instance_id_)) {
+    if (head.status == kMisdirected && context_.server.onWrongInstance(incarnation_)) {
       context_.reportServer();
     }
     return;
@@ -95,18 +95,18 @@
 
 void InboundRequest::noteLeft() {
   if (digest_) {
-    context_.guard.on_left({instance_id_, *digest_, alone_});
+    context_.guard.on_left({incarnation_, *digest_, alone_});
   }
 }
 
 void InboundRequest::noteLost() {
   if (digest_) {
-    context_.guard.on_lost({instance_id_, *digest_, alone_});
+    context_.guard.on_lost({incarnation_, *digest_, alone_});
   }
 }
 
 void InboundRequest::onServerRefusedConnection() {
-  const bool others_stand = context_.noteServerRefusal(instance_id_);
+  const bool others_stand = context_.noteServerRefusal(incarnation_);
   refuse(others_stand ? kOutcomeBusy : kOutcomeFenced, "no connection", kUnavailable);
 }
 
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -38,7 +38,7 @@
   context_.counters.inbound += 1;
   received_ = EventLoop::now();
   HttpHead& head = exchange_->mutableRequest();
-  instance_id_ = head.get(kPeerInstance);
+  incarnation_ = head.get(kPeerInstance);
   service_ = head.get(kPeerService);
   route_ = head.get(kPeerRoute);
   digest_ = parse_digest(head.get(kPeerDigest));
@@ -58,7 +58,6 @@
   repeat_ = head.find(kPeerRepeat) != nullptr;
   confirmed_by_end_ = parseBodyForm(head.get(kPeerConfirm));
   removePeerHeaders(head);
-  head.set(context_.api.headers().expect_instance, instance_id_);
   if (refuseIfFenced()) {
     return;
   }
@@ -74,7 +73,7 @@
 }
 
 bool InboundRequest::refuseIfFenced() {
-  const FenceVerdict verdict = context_.server.admit(instance_id_, service_, EventLoop::now());
+  const FenceVerdict verdict = context_.server.admit(incarnation_, service_, EventLoop::now());
   if (verdict == FenceVerdict::kAdmit && !context_.refuse_peers) {
     return false;
   }
@@ -223,6 +222,7 @@
   context_.calls.on_begun(admission_.id, route_, deadline_, repeat_);
   HttpHead& head = exchange_->mutableRequest();
   head.set(context_.api.headers().deadline_ms, formatMilliseconds(left));
+  head.set(context_.api.headers().expect_instance, context_.server.heartbeat().instance_id);
   if (confirmed_by_end_) {
     const bool has_length = confirmed_by_end_->framing == BodyFraming::kLength;
     head.chunked = confirmed_by_end_->framing == BodyFraming::kChunked;
@@ -263,7 +263,7 @@
               {"digest", digest_ ? format_digest(*digest_) : std::string()},
               {"outcome", std::string(outcome)},
               {"reason", reason},
-              {"instance", instance_id_},
+              {"instance", incarnation_},
               {"held_us", std::to_string((now - received_).count())},
               {"load", formatLoad(context_.serverLoad(route_))}});
   }
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -77,7 +77,7 @@
   std::shared_ptr<ServerExchange> exchange_;
   std::shared_ptr<ClientExchange> upstream_;
   State state_ = State::kReceiving;
-  std::string instance_id_;
+  std::string incarnation_;
   std::string service_;
   std::string route_;
   std::optional<request_digest> digest_;
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -161,20 +161,20 @@
   }
 }
 
-bool ProxyContext::noteServerRefusal(const std::string& instance_id) {
+bool ProxyContext::noteServerRefusal(const std::string& incarnation) {
   const std::size_t established = server_pool.established();
   if (established == 0) {
-    guard.on_server_gone(instance_id);
+    guard.on_server_gone(incarnation);
   }
-  if (server.onConnectionRefused(instance_id, established)) {
+  if (server.onConnectionRefused(incarnation, established)) {
     reportServer();
   }
   return established > 0;
 }
 
 void ProxyContext::reportServer() {
-  if (server.known() && server.heartbeat().instance_id != judged_instance) {
-    judged_instance = server.heartbeat().instance_id;
+  if (server.known() && server.heartbeat().incarnation() != judged_incarnation) {
+    judged_incarnation = server.heartbeat().incarnation();
     breaker = circuit_breaker();
     times = service_times();
   }
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -104,9 +104,9 @@
   [[nodiscard]] std::uint32_t ranksBelow(std::uint32_t rank) const;
   /// Overload at the services that requests of `route` need when they run at the own server.
   [[nodiscard]] std::vector<service_overload> overloadBelow(const std::string& route) const;
-  /// The address of the server beside it refused a connection meant for `instance_id`. Returns
+  /// The address of the server beside it refused a connection meant for `incarnation`. Returns
   /// whether others to it stand.
-  bool noteServerRefusal(const std::string& instance_id);
+  bool noteServerRefusal(const std::string& incarnation);
   /// What the end of a request tells the breaker.
   void noteServerOutcome(ServerOutcome outcome, bool reused_connection);
   /// The load of the own server, as told with the answer to a request of `route`.
@@ -138,12 +138,13 @@
   LoopTimer admission_timer;
   std::function<void()> on_server_changed;
   std::function<void()> on_tenant_surge;
-  std::string judged_instance;       ///< That the breaker's state is about.
+  std::string judged_incarnation;    ///< That the breaker's state is about.
   TimePoint last_failed_forward{0};  ///< When a request that began here last ended without success.
   bool refuse_peers = false;  ///< This daemon ends soon: nothing new may begin at its server.
   ProxyCounters counters;
   DecisionLimit own_answers{"own_answer"};    ///< Answers made here in place of a server's.
   DecisionLimit repeats{"repeat"};            ///< Further attempts of a request.
+  DecisionLimit refused_reports{"report_refused"};  ///< Of a server, or of another writer.
   DecisionLimit refusals{"inbound_refused"};  ///< Requests of peers that were not run here.
 };
 
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -169,30 +169,60 @@
 
 void ProxyProcess::onReport(const ExternalCall& call, const std::string& body,
                             const std::shared_ptr<ServerExchange>& exchange) {
+  const bool understood = call.type == ExternalCallType::kLeave
+                              ? onLeave(call.instance_id, body)
+                              : onHeartbeat(call.instance_id, body);
+  answer(exchange, understood ? kOk : kBadRequest, "{}");
+}
+
+bool ProxyProcess::onLeave(const std::string& instance_id, const std::string& body) {
+  const auto leave = context_.api.parseLeave(instance_id, body);
+  if (!leave.value) {
+    logReportRefused(instance_id, leave.error);
+    return false;
+  }
+  if (context_.server.onLeave(*leave.value, EventLoop::now())) {
+    context_.reportServer();
+  }
+  return true;
+}
+
+bool ProxyProcess::onHeartbeat(const std::string& instance_id, const std::string& body) {
   const TimePoint now = EventLoop::now();
-  if (call.type == ExternalCallType::kLeave) {
-    if (context_.server.onLeave(call.instance_id, now)) {
-      context_.reportServer();
-    }
-    answer(exchange, kOk, "{}");
-    return;
+  auto heartbeat = context_.api.parseHeartbeat(instance_id, body);
+  if (heartbeat.value && !namesKnownService(*heartbeat.value)) {
+    heartbeat.error = "heartbeat: service: '" + heartbeat.value->service + "' is not defined";
   }
-  const auto heartbeat = context_.api.parseHeartbeat(call.instance_id, body);
-  if (!heartbeat.value) {
-    answer(exchange, kBadRequest, "{}");
-    return;
+  if (!heartbeat.error.empty()) {
+    logReportRefused(instance_id, heartbeat.error);
+    return false;
   }
-  const std::string before = context_.server.heartbeat().instance_id;
+  const std::string before = context_.server.heartbeat().incarnation();
   if (context_.server.onHeartbeat(*heartbeat.value, now)) {
-    if (before != context_.server.heartbeat().instance_id) {
+    if (before != heartbeat.value->incarnation()) {
       context_.guard.on_server_gone(before);
     }
     logEvent(now.count(), "server",
-             {{"instance", call.instance_id},
+             {{"instance", heartbeat.value->incarnation()},
               {"state", heartbeat.value->draining ? "draining" : "ready"}});
     context_.reportServer();
   }
-  answer(exchange, kOk, "{}");
+  return true;
+}
+
+// Before the first configuration only the service that the settings name is known.
+bool ProxyProcess::namesKnownService(const ServerHeartbeat& heartbeat) const {
+  return heartbeat.service == context_.settings.service ||
+         (context_.traffic != nullptr &&
+          definesService(context_.traffic->configuration, heartbeat.service));
+}
+
+void ProxyProcess::logReportRefused(const std::string& instance_id, const std::string& reason) {
+  const TimePoint now = EventLoop::now();
+  if (context_.refused_reports.allow(now.count())) {
+    logEvent(now.count(), context_.refused_reports.event(),
+             {{"instance", instance_id}, {"reason", reason}});
+  }
 }
 
 void ProxyProcess::tellOwnRecord() {
--- a/daemon/proxy/proxy_process.h
+++ b/daemon/proxy/proxy_process.h
@@ -34,6 +34,11 @@
   void serveReport(const std::shared_ptr<ServerExchange>& exchange);
   void onReport(const ExternalCall& call, const std::string& body,
                 const std::shared_ptr<ServerExchange>& exchange);
+  /// These give whether the server's report could be read and concerns a server of ours.
+  bool onLeave(const std::string& instance_id, const std::string& body);
+  bool onHeartbeat(const std::string& instance_id, const std::string& body);
+  [[nodiscard]] bool namesKnownService(const ServerHeartbeat& heartbeat) const;
+  void logReportRefused(const std::string& instance_id, const std::string& reason);
   void answer(const std::shared_ptr<ServerExchange>& exchange, int status, std::string_view body);
   void poll();
   void takeNews();
--- a/tests/core/local_server_test.cc
+++ b/tests/core/local_server_test.cc
@@ -40,7 +40,7 @@
 TEST(LocalServer, ALateHeartbeatDoesNotTakeBackALeave) {
   LocalServer server(kDrainingAdmission);
   server.onHeartbeat(heartbeat("a", 4), TimePoint(0));
-  EXPECT_TRUE(server.onLeave("a", TimePoint(0)));
+  EXPECT_TRUE(server.onLeave({"a", std::nullopt}, TimePoint(0)));
   EXPECT_FALSE(server.onHeartbeat(heartbeat("a", 5), seconds(1)));
   EXPECT_EQ(server.admit("a", "desk", seconds(2)), FenceVerdict::kDraining);
 }
@@ -101,5 +101,52 @@
   EXPECT_EQ(server.admit("a", "desk", TimePoint(0)), FenceVerdict::kNoServer);
 }
 
+ServerHeartbeat bornAt(std::int64_t started_ms, const std::string& id, std::uint64_t sequence) {
+  ServerHeartbeat told = heartbeat(id, sequence);
+  told.started_ms = started_ms;
+  return told;
+}
+
+TEST(LocalServer, ARestartUnderTheSameIdentityIsAnotherIncarnation) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(bornAt(1000, "a", 40), TimePoint(0));
+  const std::string former = server.record().instance_id;
+  EXPECT_TRUE(server.onHeartbeat(bornAt(9000, "a", 1), seconds(2)));
+  EXPECT_NE(server.record().instance_id, former);
+  EXPECT_EQ(server.admit(former, "desk", seconds(2)), FenceVerdict::kOtherInstance);
+  EXPECT_EQ(server.admit(server.record().instance_id, "desk", seconds(2)), FenceVerdict::kAdmit);
+  EXPECT_EQ(server.heartbeat().instance_id, "a");
+}
+
+TEST(LocalServer, ARestartedServerHasLeftNothingAndDrainsNothing) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(bornAt(1000, "a", 40), TimePoint(0));
+  EXPECT_TRUE(server.onLeave({"a", 1000}, TimePoint(0)));
+  EXPECT_TRUE(server.onHeartbeat(bornAt(9000, "a", 1), seconds(2)));
+  EXPECT_EQ(server.record().state, InstanceState::kReady);
+  EXPECT_FALSE(server.onLeave({"a", 1000}, seconds(3)));  // The former one's, late.
+  EXPECT_EQ(server.record().state, InstanceState::kReady);
+  EXPECT_TRUE(server.onLeave({"a", std::nullopt}, seconds(4)));
+  EXPECT_EQ(server.record().state, InstanceState::kDraining);
+}
+
+TEST(LocalServer, HeartbeatsOfAFormerIncarnationThatComeLateChangeNothing) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(bornAt(9000, "a", 1), TimePoint(0));
+  for (std::uint64_t sequence = 40; sequence < 44; ++sequence) {
+    EXPECT_FALSE(server.onHeartbeat(bornAt(1000, "a", sequence), seconds(1)));
+    EXPECT_FALSE(server.onHeartbeat(bornAt(1000, "b", sequence), seconds(1)));
+  }
+  EXPECT_EQ(server.heartbeat().started_ms, 9000);
+}
+
+TEST(LocalServer, AServerThatLooksOlderSinceItsClockWasSetBackIsTakenOnceTheOtherIsSilent) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(bornAt(9000, "a", 5), TimePoint(0));
+  EXPECT_FALSE(server.onHeartbeat(bornAt(7000, "a", 1), seconds(3)));
+  EXPECT_FALSE(server.onHeartbeat(bornAt(7000, "a", 2), seconds(6)));
+  EXPECT_TRUE(server.onHeartbeat(bornAt(7000, "a", 3), seconds(12)));
+}
+
 }  // namespace
 }  // namespace ramppond
--- a/tests/platform/platform_api_test.cc
+++ b/tests/platform/platform_api_test.cc
@@ -307,5 +307,62 @@
   }
 }
 
+struct ReportRow {
+  const char* name;
+  const char* body;
+  const char* error;
+};
+
+void PrintTo(const ReportRow& row, std::ostream* out) {
+  *out << row.name;
+}
+
+class HeartbeatOfAnotherWriterTest : public testing::TestWithParam<ReportRow> {};
+
+TEST_P(HeartbeatOfAnotherWriterTest, NamesTheFieldAndWhatWasExpected) {
+  const auto parsed = PlatformApi().parseHeartbeat("i-1", GetParam().body);
+  EXPECT_FALSE(parsed.value);
+  EXPECT_NE(parsed.error.find(GetParam().error), std::string::npos) << parsed.error;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, HeartbeatOfAnotherWriterTest,
+    testing::Values(
+        ReportRow{"bytes", "\x01\xff\xfe", "parse error"}, ReportRow{"empty", "", "parse error"},
+        ReportRow{"list", "[1]", "heartbeat: expected an object"},
+        ReportRow{"no_info", R"({"address":"a:1","status":{}})", "heartbeat: info: missing"},
+        ReportRow{"info_of_another_type", R"({"address":"a:1","info":7,"status":{}})",
+                  "heartbeat: expected an object"},
+        ReportRow{"slots_as_text",
+                  R"({"address":"a:1","info":{"service":"s","slots":"9"},
+                      "status":{"state":"ready","seq":1}})",
+                  "heartbeat: slots: expected a number"},
+        ReportRow{"unknown_state",
+                  R"({"address":"a:1","info":{"service":"s","slots":9},
+                      "status":{"state":"resting","seq":1}})",
+                  "heartbeat: state: expected ready or draining"},
+        ReportRow{"start_as_text",
+                  R"({"address":"a:1","born":"7","info":{"service":"s","slots":9},
+                      "status":{"state":"ready","seq":1}})",
+                  "heartbeat: born: expected a whole number of milliseconds"},
+        ReportRow{"start_with_a_fraction",
+                  R"({"address":"a:1","born":7.5,"info":{"service":"s","slots":9},
+                      "status":{"state":"ready","seq":1}})",
+                  "heartbeat: born: expected a whole number of milliseconds"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST(PlatformApi, ReadsWhenAServerStarted) {
+  const PlatformApi api;
+  const auto beat = api.parseHeartbeat(
+      "i-1", R"({"address":"a:1","born":1791000000123,"info":{"service":"s","slots":9},
+                 "status":{"state":"ready","seq":1}})");
+  ASSERT_TRUE(beat.value) << beat.error;
+  EXPECT_EQ(beat.value->started_ms, 1791000000123);
+  EXPECT_EQ(api.parseLeave("i-1", R"({"born":1791000000123})").value->started_ms, 1791000000123);
+  EXPECT_EQ(api.parseLeave("i-1", "").value->started_ms, std::nullopt);
+  EXPECT_NE(api.parseLeave("i-1", R"({"born":"x"})").error, "");
+  EXPECT_NE(api.parseLeave("i-1", "\xff").error, "");
+}
+
 }  // namespace
 }  // namespace ramppond::platform
