--- a/control/control_process.cc
+++ b/control/control_process.cc
@@ -14,7 +14,7 @@
 #include "common/process.h"
 #include "control/platform_list.h"
 #include "core/cbor_codec.h"
-#include "core/control_core.h"
+#include "core/control/control_core.h"
 #include "net/admin_pages.h"
 #include "net/control_protocol.h"
 #include "net/http_client.h"
--- a/control/coordinator/coordinator_process.cc
+++ b/control/coordinator/coordinator_process.cc
@@ -4,8 +4,8 @@
 
 #include "common/event_log.h"
 #include "core/cbor_codec.h"
-#include "core/first_members.h"
-#include "core/raft_messages.h"
+#include "core/consensus/first_members.h"
+#include "core/consensus/raft_messages.h"
 #include "net/stream/http_status.h"
 
 namespace ramppond {
--- a/core/first_members.cc
+++ b/core/consensus/first_members.cc
@@ -1,4 +1,4 @@
-#include "core/first_members.h"
+#include "core/consensus/first_members.h"
 
 #include <xxhash.h>
 
--- a/core/first_members.h
+++ b/core/consensus/first_members.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "core/raft_messages.h"
+#include "core/consensus/raft_messages.h"
 
 namespace ramppond {
 
--- a/core/member_replacement.cc
+++ b/core/consensus/member_replacement.cc
@@ -1,4 +1,4 @@
-#include "core/member_replacement.h"
+#include "core/consensus/member_replacement.h"
 
 #include <algorithm>
 
--- a/core/raft.cc
+++ b/core/consensus/raft.cc
@@ -1,4 +1,4 @@
-#include "core/raft.h"
+#include "core/consensus/raft.h"
 
 #include <algorithm>
 #include <utility>
--- a/core/raft.h
+++ b/core/consensus/raft.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-#include "core/raft_messages.h"
+#include "core/consensus/raft_messages.h"
 #include "core/random.h"
 #include "core/time.h"
 
--- a/core/raft_election.cc
+++ b/core/consensus/raft_election.cc
@@ -2,7 +2,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "core/raft.h"
+#include "core/consensus/raft.h"
 
 namespace ramppond {
 namespace {
--- a/core/state_proof.cc
+++ b/core/consensus/state_proof.cc
@@ -1,4 +1,4 @@
-#include "core/state_proof.h"
+#include "core/consensus/state_proof.h"
 
 #include <algorithm>
 
--- a/core/state_proof.h
+++ b/core/consensus/state_proof.h
@@ -10,7 +10,7 @@
 #include <map>
 #include <optional>
 
-#include "core/raft_messages.h"
+#include "core/consensus/raft_messages.h"
 #include "core/time.h"
 
 namespace ramppond {
--- a/core/control_core.cc
+++ b/core/control/control_core.cc
@@ -1,4 +1,4 @@
-#include "core/control_core.h"
+#include "core/control/control_core.h"
 
 #include <algorithm>
 
--- a/core/control_core.h
+++ b/core/control/control_core.h
@@ -11,15 +11,15 @@
 #include <string>
 #include <vector>
 
-#include "core/control_messages.h"
-#include "core/control_state.h"
+#include "core/consensus/raft.h"
+#include "core/consensus/snapshot_policy.h"
+#include "core/consensus/state_proof.h"
+#include "core/control/control_messages.h"
+#include "core/control/control_state.h"
 #include "core/crash_evidence/evidence_registry.h"
-#include "core/instance_registry.h"
-#include "core/proxy_messages.h"
-#include "core/raft.h"
+#include "core/distribution/instance_registry.h"
+#include "core/distribution/proxy_messages.h"
 #include "core/server_registry.h"
-#include "core/snapshot_policy.h"
-#include "core/state_proof.h"
 #include "core/tenants/quota_ledger.h"
 
 namespace ramppond {
--- a/core/control_members.cc
+++ b/core/control/control_members.cc
@@ -2,8 +2,8 @@
 #include <algorithm>
 
 #include "core/cbor_codec.h"
-#include "core/control_core.h"
-#include "core/member_replacement.h"
+#include "core/consensus/member_replacement.h"
+#include "core/control/control_core.h"
 
 namespace ramppond {
 namespace {
--- a/core/control_messages.h
+++ b/core/control/control_messages.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "core/configuration.h"
-#include "core/control_state.h"
-#include "core/raft_messages.h"
+#include "core/consensus/raft_messages.h"
+#include "core/control/control_state.h"
 #include "core/router.h"
 
 namespace ramppond {
--- a/core/control_proxy_polls.cc
+++ b/core/control/control_proxy_polls.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "core/cbor_codec.h"
-#include "core/control_core.h"
+#include "core/control/control_core.h"
 
 namespace ramppond {
 namespace {
--- a/core/control_quotas.cc
+++ b/core/control/control_quotas.cc
@@ -1,6 +1,6 @@
 // Reports of daemons on the requests of tenants, taken by the leader.
 #include "core/cbor_codec.h"
-#include "core/control_core.h"
+#include "core/control/control_core.h"
 
 namespace ramppond {
 
--- a/core/control_state.cc
+++ b/core/control/control_state.cc
@@ -1,4 +1,4 @@
-#include "core/control_state.h"
+#include "core/control/control_state.h"
 
 #include <algorithm>
 
--- a/core/control_session.h
+++ b/core/control_session.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "core/configuration.h"
-#include "core/control_messages.h"
+#include "core/control/control_messages.h"
 #include "core/daemon_actions.h"
 #include "core/inbound_calls.h"
 #include "core/random.h"
--- a/core/daemon_actions.h
+++ b/core/daemon_actions.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "core/call.h"
-#include "core/control_messages.h"
-#include "core/control_state.h"
+#include "core/control/control_messages.h"
+#include "core/control/control_state.h"
 
 namespace ramppond {
 
--- a/core/instance_registry.cc
+++ b/core/distribution/instance_registry.cc
@@ -1,4 +1,4 @@
-#include "core/instance_registry.h"
+#include "core/distribution/instance_registry.h"
 
 namespace ramppond {
 
--- a/core/proxy_messages.h
+++ b/core/distribution/proxy_messages.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/crash_evidence/instance_evidence.h"
-#include "core/instance_registry.h"
+#include "core/distribution/instance_registry.h"
 #include "core/traffic_configuration.h"
 
 namespace ramppond {
--- a/core/proxy_session.cc
+++ b/core/distribution/proxy_session.cc
@@ -1,4 +1,4 @@
-#include "core/proxy_session.h"
+#include "core/distribution/proxy_session.h"
 
 #include <algorithm>
 
--- a/core/proxy_session.h
+++ b/core/distribution/proxy_session.h
@@ -11,10 +11,10 @@
 #include <string>
 #include <vector>
 
-#include "core/control_messages.h"
+#include "core/control/control_messages.h"
 #include "core/crash_evidence/evidence_registry.h"
-#include "core/instance_registry.h"
-#include "core/proxy_messages.h"
+#include "core/distribution/instance_registry.h"
+#include "core/distribution/proxy_messages.h"
 #include "core/random.h"
 #include "core/time.h"
 #include "core/traffic_configuration.h"
--- a/core/front_door.cc
+++ b/core/front_door.cc
@@ -4,7 +4,7 @@
 #include <array>
 #include <cstdio>
 
-#include "core/control_state.h"
+#include "core/control/control_state.h"
 
 namespace ramppond {
 namespace {
--- a/core/inbound_calls.h
+++ b/core/inbound_calls.h
@@ -12,7 +12,7 @@
 #include "core/call.h"
 #include "core/call_scope.h"
 #include "core/concurrency_limiter.h"
-#include "core/control_state.h"
+#include "core/control/control_state.h"
 #include "core/daemon_actions.h"
 #include "core/overload_policy.h"
 #include "core/random.h"
--- a/core/instance_directory.h
+++ b/core/instance_directory.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-#include "core/instance_registry.h"
+#include "core/distribution/instance_registry.h"
 #include "core/overload_controller.h"
 #include "core/peer_liveness.h"
 #include "core/random.h"
--- a/core/local_server.cc
+++ b/core/local_server.cc
@@ -62,8 +62,7 @@
 
 bool LocalServer::onLeave(const ServerLeave& leave, TimePoint now) {
   const std::string current = known_ ? current_.incarnation() : std::string();
-  const bool of_current =
-      known_ && !leave.started_ms && current_.instance_id == leave.instance_id;
+  const bool of_current = known_ && !leave.started_ms && current_.instance_id == leave.instance_id;
   const std::string leaving =
       of_current ? current : incarnationName(leave.instance_id, leave.started_ms);
   if (past_.count(leaving) == 0) {
--- a/core/local_server.h
+++ b/core/local_server.h
@@ -10,7 +10,7 @@
 #include <optional>
 #include <string>
 
-#include "core/instance_registry.h"
+#include "core/distribution/instance_registry.h"
 #include "core/time.h"
 
 namespace ramppond {
@@ -57,8 +57,8 @@
   /// Returns whether anything that others must know has changed. Late heartbeats change nothing,
   /// also those that were held up until another instance had registered.
   bool onHeartbeat(const ServerHeartbeat& heartbeat, TimePoint now);
-  /// The incarnation has left or is about to end; it is never taken back. A leave that does not tell
-  /// when its sender started is that of the current incarnation.
+  /// The incarnation has left or is about to end; it is never taken back. A leave that does not
+  /// tell when its sender started is that of the current incarnation.
   bool onLeave(const ServerLeave& leave, TimePoint now);
   /// The server said that it is another one than `incarnation`, the one last heard.
   bool onWrongInstance(const std::string& incarnation);
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -142,10 +142,10 @@
   TimePoint last_failed_forward{0};  ///< When a request that began here last ended without success.
   bool refuse_peers = false;  ///< This daemon ends soon: nothing new may begin at its server.
   ProxyCounters counters;
-  DecisionLimit own_answers{"own_answer"};    ///< Answers made here in place of a server's.
-  DecisionLimit repeats{"repeat"};            ///< Further attempts of a request.
+  DecisionLimit own_answers{"own_answer"};          ///< Answers made here in place of a server's.
+  DecisionLimit repeats{"repeat"};                  ///< Further attempts of a request.
   DecisionLimit refused_reports{"report_refused"};  ///< Of a server, or of another writer.
-  DecisionLimit refusals{"inbound_refused"};  ///< Requests of peers that were not run here.
+  DecisionLimit refusals{"inbound_refused"};        ///< Requests of peers that were not run here.
 };
 
 }  // namespace ramppond
--- a/lab/simulation/simulated_control.h
+++ b/lab/simulation/simulated_control.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "core/control_core.h"
+#include "core/control/control_core.h"
 #include "lab/simulation/memory_file_system.h"
 #include "lab/simulation/simulated_daemon.h"
 #include "lab/simulation/world.h"
--- a/net/control_protocol.h
+++ b/net/control_protocol.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "core/control_messages.h"
+#include "core/control/control_messages.h"
 #include "net/http_client.h"
 
 namespace ramppond {
--- a/net/stream/control_channels.h
+++ b/net/stream/control_channels.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-#include "core/control_messages.h"
+#include "core/control/control_messages.h"
 #include "net/stream/frame_channel.h"
 
 namespace ramppond {
--- a/spec/claim.pml
+++ b/spec/claim.pml
@@ -1,4 +1,4 @@
-/* The at-most-once claim, as core/inbound_calls.cc and core/control_state.cc do it.
+/* The at-most-once claim, as core/inbound_calls.cc and core/control/control_state.cc do it.
  *
  * One commit-once request with one key is attempted up to ATTEMPTS times, through any daemon.
  * An attempt sends a claim to the replicated log and dispatches only when it is granted. A daemon
--- a/spec/election.pml
+++ b/spec/election.pml
@@ -1,4 +1,4 @@
-/* Election, commit, member change and a wiped disk, as core/raft.cc does them.
+/* Election, commit, member change and a wiped disk, as core/consensus/raft.cc does them.
  *
  * Three members. Member 2 may lose its disk once. By the rule it then is somebody else: its old
  * identity never votes or counts again, and the new one counts only after a leader has removed the
--- a/storage/raft_storage.h
+++ b/storage/raft_storage.h
@@ -22,7 +22,7 @@
 #include <string>
 #include <vector>
 
-#include "core/raft.h"
+#include "core/consensus/raft.h"
 #include "storage/file_system.h"
 
 namespace ramppond {
--- a/tests/core/cbor_codec_test.cc
+++ b/tests/core/cbor_codec_test.cc
@@ -4,8 +4,8 @@
 #include <rapidcheck.h>
 
 #include "core/call.h"
-#include "core/control_messages.h"
-#include "core/raft_messages.h"
+#include "core/consensus/raft_messages.h"
+#include "core/control/control_messages.h"
 
 namespace ramppond {
 namespace {
--- a/tests/core/member_replacement_test.cc
+++ b/tests/core/consensus/member_replacement_test.cc
@@ -1,8 +1,8 @@
-#include "core/member_replacement.h"
+#include "core/consensus/member_replacement.h"
 
 #include <gtest/gtest.h>
 
-#include "core/first_members.h"
+#include "core/consensus/first_members.h"
 
 namespace ramppond {
 namespace {
--- a/tests/core/raft_test.cc
+++ b/tests/core/consensus/raft_test.cc
@@ -1,4 +1,4 @@
-#include "core/raft.h"
+#include "core/consensus/raft.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
--- a/tests/core/snapshot_policy_test.cc
+++ b/tests/core/consensus/snapshot_policy_test.cc
@@ -1,4 +1,4 @@
-#include "core/snapshot_policy.h"
+#include "core/consensus/snapshot_policy.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/core/control_proof_test.cc
+++ b/tests/core/control/control_proof_test.cc
@@ -5,7 +5,7 @@
 #include <memory>
 
 #include "core/cbor_codec.h"
-#include "core/control_core.h"
+#include "core/control/control_core.h"
 
 namespace ramppond {
 namespace {
--- a/tests/core/control_state_test.cc
+++ b/tests/core/control/control_state_test.cc
@@ -1,4 +1,4 @@
-#include "core/control_state.h"
+#include "core/control/control_state.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
--- a/tests/core/crash_evidence/evidence_log_test.cc
+++ b/tests/core/crash_evidence/evidence_log_test.cc
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "core/cbor_codec.h"
-#include "core/control_state.h"
+#include "core/control/control_state.h"
 
 namespace ramppond {
 namespace {
--- a/tests/core/crash_evidence/evidence_session_test.cc
+++ b/tests/core/crash_evidence/evidence_session_test.cc
@@ -5,8 +5,8 @@
 #include <memory>
 
 #include "core/cbor_codec.h"
-#include "core/control_core.h"
-#include "core/proxy_session.h"
+#include "core/control/control_core.h"
+#include "core/distribution/proxy_session.h"
 
 namespace ramppond {
 namespace {
--- a/tests/core/proxy_session_test.cc
+++ b/tests/core/distribution/proxy_session_test.cc
@@ -1,10 +1,10 @@
 // A daemon's session against control members that are cut off, restarted or behind.
-#include "core/proxy_session.h"
+#include "core/distribution/proxy_session.h"
 
 #include <gtest/gtest.h>
 
 #include "core/cbor_codec.h"
-#include "core/control_core.h"
+#include "core/control/control_core.h"
 
 namespace ramppond {
 namespace {
--- a/tests/daemon/malformed_input_test.cc
+++ b/tests/daemon/malformed_input_test.cc
@@ -4,7 +4,7 @@
 #include <atomic>
 
 #include "core/cbor_codec.h"
-#include "core/control_messages.h"
+#include "core/control/control_messages.h"
 #include "core/planning.h"
 #include "daemon/daemon_process.h"
 #include "lab/child_process.h"
