Daemons spread over all control members, whichever they were given

A daemon that had left a member never came back. Ruled out by design (docs/design/0013): a list of members by load, which all would follow at once. Change: core/distribution/member_ranking, rendezvous hashing over the members that are told; a first choice that failed is asked again after 10 to 20 s, a member that joins takes its share over 5 s.

--- /dev/null
+++ b/core/distribution/member_ranking.cc
@@ -0,0 +1,122 @@
+#include "core/distribution/member_ranking.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ramppond {
+namespace {
+
+// A member that was restarted is back within seconds, and one that is gone leaves the membership
+// after three. One that is cut off from the others answers without authority for as long as the cut
+// lasts, mostly less than this.
+constexpr auto return_pause = seconds(10);
+constexpr auto most_doublings = std::uint32_t(2);
+// A member that joins is handed its share of the daemons over this time: each of them costs it a
+// connection and an answer.
+constexpr auto move_spread = seconds(5);
+// All members may have been replaced while this daemon was cut off: some addresses of before are
+// asked when no other answers. Each that is gone costs half a second in a row of failures.
+constexpr auto most_former = std::size_t(4);
+
+auto weight(std::uint64_t key, const std::string& member) -> std::uint64_t {
+  return XXH3_64bits_withSeed(member.data(), member.size(), key);
+}
+
+auto contains(const std::vector<std::string>& list, const std::string& member) -> bool {
+  return std::find(list.begin(), list.end(), member) != list.end();
+}
+
+}  // namespace
+
+member_ranking::member_ranking(std::uint64_t key, const std::vector<std::string>& seeds)
+    : key(key), random(key), seeds(seeds) {
+  this->rank(std::string());
+}
+
+void member_ranking::set_seeds(const std::vector<std::string>& seeds) {
+  const auto asked = this->order.empty() ? std::string() : this->current();
+  this->seeds = seeds;
+  this->rank(asked);
+}
+
+void member_ranking::on_members(const std::vector<std::string>& members, TimePoint now) {
+  auto sorted = members;
+  std::sort(sorted.begin(), sorted.end());
+  if (sorted.empty() || sorted == this->members) {
+    return;
+  }
+  const auto asked = this->order.empty() ? std::string() : this->current();
+  this->members = std::move(sorted);
+  this->rank(asked);
+  this->failed_returns = 0;
+  if (this->position != 0) {
+    this->schedule_return(now, Duration(0), move_spread);
+  }
+}
+
+void member_ranking::on_answered() {
+  this->failed_returns = this->position == 0 ? 0 : this->failed_returns;
+}
+
+void member_ranking::on_failed(TimePoint now) {
+  if (this->order.empty()) {
+    return;
+  }
+  if (this->position == 0) {
+    const auto doublings = std::min(this->failed_returns, most_doublings);
+    const auto pause = Duration(return_pause) * (std::int64_t(1) << doublings);
+    this->schedule_return(now, pause, pause);
+    this->failed_returns += 1;
+  }
+  this->position = (this->position + 1) % this->order.size();
+}
+
+auto member_ranking::return_if_due(TimePoint now) -> bool {
+  if (!this->return_at || now < *this->return_at) {
+    return false;
+  }
+  this->return_at.reset();
+  return std::exchange(this->position, 0) != 0;
+}
+
+void member_ranking::schedule_return(TimePoint now, Duration pause, Duration spread) {
+  const auto jitter = this->random.below(static_cast<std::uint64_t>(spread.count()));
+  this->return_at = now + pause + Duration(static_cast<std::int64_t>(jitter));
+}
+
+// Keeps asking `keep` while it stands anywhere in the new order.
+void member_ranking::rank(const std::string& keep) {
+  for (const auto& member : this->order) {
+    if (!contains(this->former, member)) {
+      this->former.push_back(member);
+    }
+  }
+  if (this->former.size() > most_former) {
+    this->former.erase(this->former.begin(), this->former.end() - most_former);
+  }
+  this->order.clear();
+  this->rank_group(this->members);
+  this->rank_group(this->seeds);
+  this->rank_group(this->former);
+  const auto kept = std::find(this->order.begin(), this->order.end(), keep);
+  const auto index = static_cast<std::size_t>(kept - this->order.begin());
+  this->position = kept == this->order.end() ? 0 : index;
+}
+
+// Appends those of `group` that are not in the order yet, by weight.
+void member_ranking::rank_group(const std::vector<std::string>& group) {
+  auto added = std::vector<std::string>();
+  for (const auto& member : group) {
+    if (!contains(this->order, member) && !contains(added, member)) {
+      added.push_back(member);
+    }
+  }
+  std::sort(added.begin(), added.end(), [this](const auto& left, const auto& right) {
+    return weight(this->key, left) > weight(this->key, right);
+  });
+  this->order.insert(this->order.end(), added.begin(), added.end());
+}
+
+}  // namespace ramppond
--- a/core/distribution/proxy_session.cc
+++ b/core/distribution/proxy_session.cc
@@ -11,7 +11,6 @@
 constexpr std::uint64_t kBackoffSpreadUs = 50000;
 // Versions must arrive within seconds, also after several failed polls in a row.
 constexpr std::uint32_t kMaximumDoublings = 3;
-constexpr std::size_t kMaximumMembers = 16;
 // A member that is cut off from its leader hears of it only after some time: whoever needs proof
 // leaves it before.
 constexpr std::uint32_t kMostUnprovenAnswers = 2;
@@ -22,9 +21,7 @@
     : options_(std::move(options)),
       random_(options_.random_seed),
       incarnation_(options_.incarnation),
-      members_(options_.seeds) {
-  position_ = random_.below(members_.size());
-}
+      members_(options_.random_seed, options_.seeds) {}
 
 void ProxySession::setOwnRecord(InstanceRecord record) {
   if (!record.service.empty() && record.service != evidence_service_) {
@@ -43,17 +40,8 @@
   evidence_untold_ = evidence_.offer(evidence, now) || evidence_untold_;
 }
 
-void ProxySession::setSeeds(std::vector<std::string> seeds) {
-  options_.seeds = std::move(seeds);
-  for (const std::string& seed : options_.seeds) {
-    if (std::find(members_.begin(), members_.end(), seed) == members_.end()) {
-      members_.push_back(seed);
-    }
-  }
-}
-
-const std::string& ProxySession::address() const {
-  return members_.at(position_ % members_.size());
+void ProxySession::setSeeds(const std::vector<std::string>& seeds) {
+  members_.set_seeds(seeds);
 }
 
 std::optional<OutgoingPoll> ProxySession::takePoll(TimePoint now) {
@@ -62,6 +50,10 @@
       (!under_way && now < next_poll_)) {
     return std::nullopt;
   }
+  if (!under_way && members_.return_if_due(now)) {
+    forgetMember();
+    member_untried_ = true;
+  }
   ProxyPoll poll;
   poll.has_self = has_record_;
   poll.self = record_;
@@ -74,11 +66,12 @@
   poll.evidence_counter = evidence_counter_;
   evidence_telling_ = evidence_.counter();
   evidence_untold_ = false;
-  // After a failure the first question is what was missed, not what comes next.
-  poll.hold = failures_ == 0 ? options_.hold : Duration(0);
+  // After a failure the first question is what was missed, not what comes next. A member that may
+  // be gone is not waited for longer than an answer takes.
+  poll.hold = failures_ == 0 && !member_untried_ ? options_.hold : Duration(0);
   poll.hold = hasTraffic() ? poll.hold : options_.first_hold;
   OutgoingPoll outgoing;
-  outgoing.address = address();
+  outgoing.address = members_.current();
   outgoing.poll_id = next_poll_id_++;
   outgoing.timeout = poll.hold + options_.answer_margin;
   outgoing.request.type = ControlRequestType::kProxyPoll;
@@ -116,6 +109,9 @@
   }
   takeEvidenceNews(*news, now);
   takeNews(*news, reply->authoritative);
+  if (reply->authoritative) {
+    members_.on_members(news->member_addresses, now);
+  }
   const bool as_new_as_the_answer = traffic_index_ >= news->traffic_index;
   return current && takeCurrentAnswer(*reply, now) && as_new_as_the_answer;
 }
@@ -131,7 +127,9 @@
     return false;
   }
   failures_ = 0;
-  upstream_ = address();
+  member_untried_ = false;
+  members_.on_answered();
+  upstream_ = members_.current();
   next_poll_ = hasTraffic() ? now : now + kShortestBackoff;
   return reply.quorum_confirmed;
 }
@@ -152,12 +150,6 @@
       news_.push_back(record);
     }
   }
-  for (const std::string& member : news.member_addresses) {
-    const bool known = std::find(members_.begin(), members_.end(), member) != members_.end();
-    if (!known && members_.size() < kMaximumMembers) {
-      members_.push_back(member);
-    }
-  }
   // A member that hears no leader may hold an old version; an older one than ours is never taken.
   if (!authoritative || news.traffic.empty() || news.traffic_index <= traffic_index_) {
     return;
@@ -191,11 +183,16 @@
   setOwnRecord(record_);
 }
 
-void ProxySession::tryNextMember(TimePoint now) {
+void ProxySession::forgetMember() {
   upstream_.clear();
-  position_ += 1;
   registry_epoch_ = 0;
   evidence_told_ = 0;
+  member_untried_ = false;
+}
+
+void ProxySession::tryNextMember(TimePoint now) {
+  members_.on_failed(now);
+  forgetMember();
   const std::uint32_t doublings = std::min(failures_ / 3, kMaximumDoublings);
   failures_ += 1;
   const auto jitter = Duration(static_cast<std::int64_t>(random_.below(kBackoffSpreadUs)));
--- a/core/distribution/proxy_session.h
+++ b/core/distribution/proxy_session.h
@@ -1,9 +1,9 @@
 // A daemon's session with the control group on the forwarding path: the traffic configuration and
 // the servers of all daemons, against the daemon's own record.
 //
-// The daemon polls one control member at a time and goes to the next one when it gets no answer,
-// or an answer without authority. A configuration is never replaced by an older one. The driver
-// sends what takePoll() gives and reports by onReply(). Pure, not thread safe.
+// The daemon polls one control member at a time, which member_ranking picks, and another one when
+// it gets no answer, or an answer without authority. A configuration is never replaced by an older
+// one. The driver sends what takePoll() gives and reports by onReply(). Pure, not thread safe.
 #pragma once
 
 #include <cstdint>
@@ -14,6 +14,7 @@
 #include "core/control/control_messages.h"
 #include "core/crash_evidence/evidence_registry.h"
 #include "core/distribution/instance_registry.h"
+#include "core/distribution/member_ranking.h"
 #include "core/distribution/proxy_messages.h"
 #include "core/random.h"
 #include "core/time.h"
@@ -24,7 +25,7 @@
 struct ProxySessionOptions {
   std::vector<std::string> seeds;  ///< Control members, HOST:PORT.
   std::uint64_t incarnation = 1;   ///< First number of this process; raised when it is outdated.
-  std::uint64_t random_seed = 1;
+  std::uint64_t random_seed = 1;   ///< Differs between daemons; also spreads them over members.
   Duration hold =
       seconds(1);  ///< How long a member may hold a poll; bounds how long a lost one costs.
   Duration first_hold = milliseconds(300);     ///< The same while no configuration is held.
@@ -48,7 +49,7 @@
   void setOwnRecord(InstanceRecord record);
   /// Tells the control group at once what the server beside this daemon shows of requests.
   void tellEvidence(const instance_evidence& evidence, TimePoint now);
-  void setSeeds(std::vector<std::string> seeds);
+  void setSeeds(const std::vector<std::string>& seeds);
 
   /// The next poll, if one is due. A poll under way is superseded when the own record changed.
   std::optional<OutgoingPoll> takePoll(TimePoint now);
@@ -81,7 +82,8 @@
   void outdateOwnRecord(const InstanceRecord& known);
   bool takeCurrentAnswer(const ControlReply& reply, TimePoint now);
   void tryNextMember(TimePoint now);
-  [[nodiscard]] const std::string& address() const;
+  /// Another member is asked from now on: what the last one knows of this daemon does not count.
+  void forgetMember();
 
   ProxySessionOptions options_;
   Random random_;
@@ -91,8 +93,8 @@
   std::uint64_t revision_ = 0;
   bool record_untold_ = false;
 
-  std::vector<std::string> members_;  ///< Seeds first, then what members named.
-  std::size_t position_ = 0;
+  member_ranking members_;
+  bool member_untried_ = false;  ///< The member asked now is the first choice, which may be gone.
   std::string upstream_;
   std::string leader_;
   std::uint32_t unproven_answers_ = 0;  ///< In a row.
