Configurations travel as differences between the last few and the newest

Cause: every daemon was sent every configuration whole: bytes of a change are daemons times routes. Change: traffic_difference names runs of the earlier lists and new entries; whoever applies it checks a digest of the result and asks for the whole if it does not fit. A member keeps the last eight and encodes each difference once (traffic_history). Members do not tell each other configurations any more: those have them from the log. Ruled out: sharing the call port's deltas. Those are operators' changes, which the group applies; here an operator replaces the document and the change has to be found. Measured in virtual time, 300 routes, four changes 0.33 s apart: 23.5 kB a daemon and change before (red), under 2.5 now, polls included.

--- a/core/control/control_core.cc
+++ b/core/control/control_core.cc
@@ -260,7 +260,7 @@
     pull.request.sessions_since = pulled_counters_[member.address];
     const KnownRegistry& known = pulled_registries_[member.address];
     ProxyPoll poll;
-    poll.traffic_index = state_.traffic().logIndex();
+    poll.traffic_index = kNoTrafficWanted;  // Members have it from the log.
     poll.registry_epoch = known.epoch;
     poll.registry_counter = known.counter;
     poll.evidence_counter = known.evidence_counter;
@@ -357,6 +357,7 @@
     const ConfigurationVersion before = state_.configuration().version;
     if (command) {
       result = state_.apply(*command, {entry.term, entry.index});
+      traffic_history_.on_in_force(state_.traffic().logIndex(), state_.traffic().configuration());
       evidence_to_take_ = evidence_to_take_ || command->type == CommandType::kKeepEvidence;
     } else {
       result.error = ErrorKind::kMalformedRequest;
@@ -387,6 +388,7 @@
   const auto decoded = decode<ControlSnapshot>(snapshot.state);
   if (decoded) {
     state_.restore(*decoded);
+    traffic_history_.on_in_force(state_.traffic().logIndex(), state_.traffic().configuration());
   }
   state_.setGroupId(raft_.groupId());
   applied_ = snapshot.index;
--- a/core/control/control_core.h
+++ b/core/control/control_core.h
@@ -19,6 +19,7 @@
 #include "core/crash_evidence/evidence_registry.h"
 #include "core/distribution/instance_registry.h"
 #include "core/distribution/proxy_messages.h"
+#include "core/distribution/traffic_history.h"
 #include "core/server_registry.h"
 #include "core/tenants/quota_ledger.h"
 
@@ -151,7 +152,7 @@
   [[nodiscard]] bool hasProxyNews(const HeldProxyPoll& held, TimePoint now) const;
   void answerProxyPoll(ControlToken token, const HeldProxyPoll& held, TimePoint now);
   void answerHeldProxyPolls(TimePoint now);
-  const std::string& encodedTraffic();
+  void addTraffic(const ProxyPoll& poll, ProxyNews& news);
   void keepEvidence(TimePoint now);
   void takeKeptEvidence(TimePoint now);
   void onSessions(ControlToken token, const ControlRequest& request, TimePoint now);
@@ -199,8 +200,7 @@
   std::map<ControlToken, HeldProxyPoll> proxy_polls_;
   std::vector<Joiner> joiners_;
   TimePoint next_member_change_{0};
-  std::string encoded_traffic_;  ///< Of `encoded_traffic_index_`.
-  std::uint64_t encoded_traffic_index_ = 0;
+  traffic_history traffic_history_;
   std::map<NodeId, std::string> heard_addresses_;
   TimePoint next_pull_{0};
   LogIndex applied_ = 0;
--- a/core/control/control_proxy_polls.cc
+++ b/core/control/control_proxy_polls.cc
@@ -147,20 +147,22 @@
   }
 }
 
-const std::string& ControlCore::encodedTraffic() {
-  if (encoded_traffic_index_ != state_.traffic().logIndex()) {
-    encoded_traffic_index_ = state_.traffic().logIndex();
-    encoded_traffic_ = encode(state_.traffic().configuration());
+void ControlCore::addTraffic(const ProxyPoll& poll, ProxyNews& news) {
+  if (poll.traffic_index >= state_.traffic().logIndex()) {
+    return;
+  }
+  news.traffic_index = state_.traffic().logIndex();
+  if (poll.takes_differences) {
+    news.traffic_difference = traffic_history_.difference_from(poll.traffic_index);
+  }
+  if (news.traffic_difference.empty()) {
+    news.traffic = traffic_history_.whole();
   }
-  return encoded_traffic_;
 }
 
 ProxyNews ControlCore::proxyNews(const ProxyPoll& poll, TimePoint now) {
   ProxyNews news;
-  if (poll.traffic_index < state_.traffic().logIndex()) {
-    news.traffic_index = state_.traffic().logIndex();
-    news.traffic = encodedTraffic();
-  }
+  addTraffic(poll, news);
   const bool knows_this_member = poll.registry_epoch == options_.registry_epoch;
   news.registry_epoch = options_.registry_epoch;
   // Members, which ask without a record of their own, are told all at once.
@@ -188,7 +190,7 @@
   if (own != nullptr && own->isNewerThan(poll.self)) {
     news.instances.emplace_back(*own);
   }
-  counters_.configuration_pushes += news.traffic.empty() ? 0 : 1;
+  counters_.configuration_pushes += news.traffic_index == 0 ? 0 : 1;
   ControlReply reply;
   reply.authoritative = authoritative(now);
   reply.quorum_confirmed = proof_.covers(held.received);
--- a/core/distribution/proxy_messages.h
+++ b/core/distribution/proxy_messages.h
@@ -28,6 +28,7 @@
   std::uint64_t evidence_counter = 0;       ///< Known up to here, as registry_counter is.
   /// Of the records held, told to a member whose counter is not known; see record_digests.
   std::vector<std::uint64_t> record_digests;
+  bool takes_differences = false;  ///< A configuration may be told by a difference.
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
@@ -42,12 +43,17 @@
     visitor(9, evidence_service);
     visitor(10, evidence_counter);
     visitor(11, record_digests);
+    visitor(12, takes_differences);
   }
 };
 
+/// The log index that a poll gives which wants no configuration.
+constexpr std::uint64_t kNoTrafficWanted = ~std::uint64_t{0};
+
 struct ProxyNews {
-  std::uint64_t traffic_index = 0;  ///< Of `traffic`.
-  std::string traffic;              ///< An encoded TrafficConfiguration; empty for no news.
+  std::uint64_t traffic_index = 0;  ///< Of `traffic` or `traffic_difference`; 0 for no news.
+  std::string traffic;              ///< An encoded TrafficConfiguration.
+  std::string traffic_difference;   ///< In its place: an encoded traffic_difference.
   std::uint64_t registry_epoch = 0;
   std::uint64_t registry_counter = 0;
   std::vector<Preencoded<InstanceRecord>> instances;
@@ -65,6 +71,7 @@
     visitor(6, member_addresses);
     visitor(7, evidence_counter);
     visitor(8, evidence);
+    visitor(9, traffic_difference);
   }
 };
 
--- a/core/distribution/proxy_session.cc
+++ b/core/distribution/proxy_session.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/cbor_codec.h"
+#include "core/distribution/traffic_difference.h"
 
 namespace ramppond {
 namespace {
@@ -70,6 +71,7 @@
   if (whole_registry_due_) {
     poll.record_digests = digests_.buckets();
   }
+  poll.takes_differences = hasTraffic() && !whole_traffic_due_;
   evidence_telling_ = evidence_.counter();
   evidence_untold_ = false;
   // After a failure the first question is what was missed, not what comes next. A member that may
@@ -161,17 +163,27 @@
   }
 }
 
+std::optional<TrafficConfiguration> ProxySession::takeDifference(const ProxyNews& news) {
+  const auto difference = decode<traffic_difference>(news.traffic_difference);
+  const bool fits = difference && difference->base_index == traffic_index_;
+  auto traffic = fits ? apply(*difference, traffic_) : std::nullopt;
+  whole_traffic_due_ = !traffic;
+  return traffic;
+}
+
 void ProxySession::takeNews(const ProxyNews& news, bool authoritative) {
   takeRecords(news);
   // A member that hears no leader may hold an old version; an older one than ours is never taken.
-  if (!authoritative || news.traffic.empty() || news.traffic_index <= traffic_index_) {
+  if (!authoritative || news.traffic_index <= traffic_index_) {
     return;
   }
-  auto traffic = decode<TrafficConfiguration>(news.traffic);
+  auto traffic = news.traffic_difference.empty() ? decode<TrafficConfiguration>(news.traffic)
+                                                 : takeDifference(news);
   if (traffic) {
     traffic_ = std::move(*traffic);
     traffic_index_ = news.traffic_index;
     traffic_changed_ = true;
+    whole_traffic_due_ = false;
   }
 }
 
--- a/core/distribution/proxy_session.h
+++ b/core/distribution/proxy_session.h
@@ -80,6 +80,7 @@
  private:
   void takeNews(const ProxyNews& news, bool authoritative);
   void takeRecords(const ProxyNews& news);
+  std::optional<TrafficConfiguration> takeDifference(const ProxyNews& news);
   void takeEvidenceNews(const ProxyNews& news, TimePoint now);
   void outdateOwnRecord(const InstanceRecord& known);
   bool takeCurrentAnswer(const ControlReply& reply, TimePoint now);
@@ -120,6 +121,7 @@
 
   TrafficConfiguration traffic_;
   std::uint64_t traffic_index_ = 0;
+  bool whole_traffic_due_ = false;  ///< A difference did not fit.
   bool traffic_changed_ = false;
   std::vector<InstanceRecord> news_;
 };
--- /dev/null
+++ b/core/distribution/traffic_history.cc
@@ -0,0 +1,52 @@
+#include "core/distribution/traffic_history.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/cbor_codec.h"
+#include "core/distribution/traffic_difference.h"
+
+namespace ramppond {
+namespace {
+
+// A daemon is told each change within a second, unless it was cut off; three changes a second are
+// the fastest that operators describe.
+constexpr auto most_earlier = std::size_t(8);
+
+}  // namespace
+
+void traffic_history::on_in_force(std::uint64_t log_index,
+                                  const TrafficConfiguration& configuration) {
+  if (log_index == this->index) {
+    return;
+  }
+  if (this->index != 0) {
+    this->earlier.push_back({this->index, std::move(this->current), std::string()});
+  }
+  if (this->earlier.size() > most_earlier) {
+    this->earlier.pop_front();
+  }
+  for (auto& p : this->earlier) {
+    p.difference.clear();
+    p.compared = false;
+  }
+  this->index = log_index;
+  this->current = configuration;
+  this->encoded = encode(configuration);
+}
+
+auto traffic_history::difference_from(std::uint64_t base_index) -> const std::string& {
+  static const auto none = std::string();
+  const auto found = std::find_if(this->earlier.begin(), this->earlier.end(),
+                                  [&](const past& p) { return p.log_index == base_index; });
+  if (found == this->earlier.end()) {
+    return none;
+  }
+  if (!std::exchange(found->compared, true)) {
+    auto difference = encode(difference_of(base_index, found->configuration, this->current));
+    found->difference = difference.size() < this->encoded.size() ? std::move(difference) : none;
+  }
+  return found->difference;
+}
+
+}  // namespace ramppond
--- a/tests/core/distribution/distribution_test.cc
+++ b/tests/core/distribution/distribution_test.cc
@@ -70,5 +70,24 @@
   EXPECT_LT(moved / moving, 3000U);
 }
 
+// 23.5 kB a daemon and change, with 300 routes, before differences.
+TEST(Distribution, AChangeOfOneRouteCostsTheSameHoweverManyRoutesThereAre) {
+  DistributionFleet fleet(40, members(3));
+  TrafficConfiguration configuration = configurationOf(1, 300);
+  fleet.group().replaceTraffic(0, configuration);
+  fleet.run(seconds(3));
+  ASSERT_EQ(fleet.withoutConfiguration(1), 0U);
+  fleet.takeToldBytes();
+  for (std::uint64_t number = 2; number < 6; ++number) {
+    configuration.number = number;
+    configuration.routes[40 * number].timeout += seconds(1);
+    fleet.group().replaceTraffic(number - 1, configuration);
+    fleet.run(milliseconds(330));
+  }
+  fleet.run(milliseconds(300));
+  EXPECT_EQ(fleet.withoutConfiguration(5), 0U);
+  EXPECT_LT(fleet.takeToldBytes().all / (4 * fleet.daemons()), 2500U);
+}
+
 }  // namespace
 }  // namespace ramppond
