--- a/control/coordinator/coordinator_process.cc
+++ b/control/coordinator/coordinator_process.cc
@@ -16,6 +16,8 @@
 constexpr Duration kJoinTimeout = milliseconds(600);
 constexpr Duration kMemberTimeout = milliseconds(800);
 constexpr Duration kSettingsCheckInterval = seconds(1);
+// Members talk to each other many times a second: whoever is silent for this long has left.
+constexpr Duration kMemberConnectionIdle = seconds(5);
 constexpr Duration kStopTime = milliseconds(300);
 // Reading the files anew costs about as much as a start.
 constexpr Duration kOpenInterval = milliseconds(500);
@@ -446,6 +448,7 @@
   if (now >= next_settings_check_) {
     next_settings_check_ = now + kSettingsCheckInterval;
     rereadSettings();
+    channels_.closeUnusedSince(now - kMemberConnectionIdle);
   }
   tick_timer_.after(kTickInterval, [this] { tick(); });
 }
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -29,6 +29,8 @@
 // within what its burst and the bound's slack pay for. Costs 0.2 KB a report.
 constexpr Duration kTenantReportInterval = milliseconds(250);
 constexpr Duration kLeastReportInterval = milliseconds(50);
+// A member that is asked answers each second.
+constexpr Duration kMemberConnectionIdle = seconds(5);
 constexpr std::size_t kMaximumReportBytes = 65536;
 
 // Orders the starts of one daemon: later ones have higher numbers unless the clock ran backwards,
@@ -410,6 +412,7 @@
 }
 
 void ProxyProcess::everySecond() {
+  channels_.closeUnusedSince(EventLoop::now() - kMemberConnectionIdle);
   context_.server_pool.sweep();
   for (const auto& [address, pool] : context_.peers) {
     pool->sweep();
--- a/net/stream/control_channels.cc
+++ b/net/stream/control_channels.cc
@@ -1,5 +1,7 @@
 #include "net/stream/control_channels.h"
 
+#include <iterator>
+
 #include "core/cbor_codec.h"
 
 namespace ramppond {
@@ -43,4 +45,11 @@
   }
 }
 
+void ControlChannels::closeUnusedSince(TimePoint moment) {
+  for (auto channel = channels_.begin(); channel != channels_.end();) {
+    const bool unused = channel->second == nullptr || channel->second->unusedSince(moment);
+    channel = unused ? channels_.erase(channel) : std::next(channel);
+  }
+}
+
 }  // namespace ramppond
--- a/net/stream/control_channels.h
+++ b/net/stream/control_channels.h
@@ -25,6 +25,10 @@
   void onPeerHeard(const std::string& address);
   /// Sends without an answer.
   void post(const std::string& address, FrameKind kind, std::string body);
+  /// Closes the connections to members that were not asked since `moment`: a member would
+  /// otherwise hold one of every daemon that ever asked it. Not to be called by an Answer.
+  void closeUnusedSince(TimePoint moment);
+  [[nodiscard]] std::size_t open() const { return channels_.size(); }
 
  private:
   FrameChannel* channel(const std::string& address);
--- a/net/stream/frame_channel.cc
+++ b/net/stream/frame_channel.cc
@@ -204,6 +204,7 @@
 }
 
 FrameClientConnection& FrameChannel::connection() {
+  last_used_ = EventLoop::now();
   if (connection_ == nullptr) {
     connection_ = std::make_shared<FrameClientConnection>(loop_, *this);
     opened_at_ = EventLoop::now();
@@ -255,6 +256,7 @@
   if (found == pending_.end()) {
     return;
   }
+  last_used_ = EventLoop::now();
   const auto pending = std::make_shared<Pending>(std::move(found->second));
   pending_.erase(found);
   pending->timer->cancel();
--- a/net/stream/frame_channel.h
+++ b/net/stream/frame_channel.h
@@ -100,6 +100,10 @@
   void request(FrameKind kind, std::string body, Duration timeout, Answer answer);
   /// Sends without an answer; dropped when the peer does not keep up or cannot be reached.
   void post(FrameKind kind, std::string body);
+  /// Nobody waits for an answer, and nothing was sent or answered since `moment`.
+  [[nodiscard]] bool unusedSince(TimePoint moment) const {
+    return pending_.empty() && last_used_ < moment;
+  }
   /// Something came from the peer on another connection. An attempt to connect that still hangs, as
   /// one that began before the peer was there, is given up: the next frame opens a new one.
   void onPeerHeard();
@@ -121,6 +125,7 @@
   Endpoint endpoint_;
   std::shared_ptr<FrameClientConnection> connection_;
   TimePoint opened_at_{0};  ///< When the connection was begun.
+  TimePoint last_used_{0};
   std::map<std::uint64_t, Pending> pending_;
   std::uint64_t next_number_ = 1;
 };
