Daemons watch only the peers that owe them an answer

Cause: ten times a second each daemon looked at every other one to find those that fell silent: work for the fleet is its square. Change: only daemons with requests under way, and silent ones, are looked at. Measured: 1,000 known daemons, three requests: three watched, none after their ends (test; the code before looked at all).

--- a/core/instance_directory.cc
+++ b/core/instance_directory.cc
@@ -1,6 +1,7 @@
 #include "core/instance_directory.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace ramppond {
 namespace {
@@ -201,6 +202,7 @@
   instance.sent += 1;
   instance.sent_since += 1;
   instance.liveness.on_sent(now);
+  watch(instance);
 }
 
 void InstanceDirectory::onEnded(KnownInstance& instance) {
@@ -235,15 +237,24 @@
   instance.failures = 0;
   instance.unreachable_until = TimePoint(0);
   instance.liveness.on_heard(now, instance.sent > 0 ? instance.sent - 1 : 0);
+  watch(instance);
 }
 
 void InstanceDirectory::onPingAnswered(KnownInstance& instance, TimePoint now) {
   instance.liveness.on_heard(now, instance.sent);
+  watch(instance);
+}
+
+void InstanceDirectory::watch(KnownInstance& instance) {
+  if (!instance.liveness.is_at_rest()) {
+    watched_[instance.record.daemon_address] = &instance;
+  }
 }
 
 InstanceDirectory::LivenessChanges InstanceDirectory::checkLiveness(TimePoint now) {
   LivenessChanges changes;
-  for (auto& [daemon, instance] : by_daemon_) {
+  for (auto watched = watched_.begin(); watched != watched_.end();) {
+    KnownInstance& instance = *watched->second;
     switch (instance.liveness.check(now)) {
       case liveness_step::none:
         break;
@@ -254,6 +265,7 @@
         changes.silent.push_back(&instance);
         break;
     }
+    watched = instance.liveness.is_at_rest() ? watched_.erase(watched) : std::next(watched);
   }
   return changes;
 }
--- a/core/instance_directory.h
+++ b/core/instance_directory.h
@@ -87,13 +87,17 @@
     std::vector<KnownInstance*> to_ping;
     std::vector<KnownInstance*> silent;
   };
-  /// To be called every 100 ms or so.
+  /// To be called every 100 ms or so. Looks at daemons with requests under way and at silent ones
+  /// only: a few, however many are known.
   LivenessChanges checkLiveness(TimePoint now);
+  /// The daemons that checkLiveness() looks at.
+  [[nodiscard]] std::size_t watched() const { return watched_.size(); }
   /// The daemon said that this instance takes nothing more. Passed over until a newer record comes
   /// or some time has passed: what was said may be older than the record that is held.
   void onFenced(KnownInstance& instance, TimePoint now);
 
  private:
+  void watch(KnownInstance& instance);
   [[nodiscard]] static double utilization(const KnownInstance& instance);
   [[nodiscard]] static bool toldRecently(const KnownInstance& instance, TimePoint now);
   [[nodiscard]] static std::optional<Duration> recentServiceTime(const KnownInstance& instance,
@@ -114,6 +118,7 @@
   Random random_;
   std::map<std::string, KnownInstance> by_daemon_;
   std::map<std::string, std::vector<KnownInstance*>> by_service_;
+  std::map<std::string, KnownInstance*> watched_;  ///< By daemon, as by_daemon_.
   std::vector<KnownInstance*> candidates_;  ///< Of the choice being made; kept for its memory.
   std::vector<std::uint32_t> failed_;       ///< Of the candidates; likewise.
 };
--- a/core/peer_liveness.h
+++ b/core/peer_liveness.h
@@ -39,6 +39,10 @@
   auto check(TimePoint now) -> liveness_step;
 
   [[nodiscard]] auto is_silent() const -> bool { return this->silent; }
+  /// Nothing waits for the peer and it is not silent: check() has nothing to do before on_sent().
+  [[nodiscard]] auto is_at_rest() const -> bool {
+    return !this->silent && !this->pinged && !this->waiting_since;
+  }
 
  private:
   std::optional<TimePoint> waiting_since;
--- a/tests/core/instance_directory_test.cc
+++ b/tests/core/instance_directory_test.cc
@@ -192,6 +192,26 @@
   EXPECT_EQ(choose(), "near");
 }
 
+TEST_F(InstanceDirectoryTest, OnlyDaemonsWithRequestsUnderWayAreWatchedHoweverManyAreKnown) {
+  for (int index = 0; index < 1000; ++index) {
+    directory_.offer(record("daemon-" + std::to_string(index), "zone-a"));
+  }
+  EXPECT_EQ(directory_.watched(), 0U);
+  std::vector<KnownInstance*> asked;
+  for (int request = 0; request < 3; ++request) {
+    asked.push_back(directory_.choose("desk", "route", {}, now_));
+    directory_.onSent(*asked.back(), now_);
+  }
+  directory_.checkLiveness(now_);
+  EXPECT_EQ(directory_.watched(), 3U);
+  for (KnownInstance* instance : asked) {
+    directory_.onReached(*instance, now_);
+    directory_.onEnded(*instance);
+  }
+  directory_.checkLiveness(now_);
+  EXPECT_EQ(directory_.watched(), 0U);
+}
+
 TEST_F(InstanceDirectoryTest, OlderRecordsAreNotTaken) {
   directory_.offer(record("near", "zone-a", InstanceState::kDraining, 7));
   directory_.offer(record("near", "zone-a", InstanceState::kReady, 6));
