The retry budget keeps to windows as they are bound, and a fraction of a repeat is drawn for

Cause: a daemon repeated once it had earned a whole repeat within five seconds. And where a service turns much away, runs end early, first sends become few and with them repeats, while the bound counts the window before. Change: repeats in every window that holds the moment stay below 0.8 of the ratio of the first sends in it, in the one before or half before; what there is of a repeat is drawn for, won or lost; each daemon has a quarter of its part of budget_extra. Ruled out: asking the control group for repeats (a round trip before each).

--- a/core/external_api.h
+++ b/core/external_api.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/local_server.h"
+#include "core/retry_budget.h"
 #include "core/tenants/credential.h"
 #include "core/tenants/quota_bounds.h"
 #include "core/time.h"
@@ -59,6 +60,7 @@
   Duration drain_timeout = seconds(2);  ///< A leaving server takes nothing new after this.
   Duration grace = seconds(6);          ///< From SIGTERM to the end of the process.
   double retry_ratio = 0.2;             ///< Repeats for a service, as a share of its requests.
+  shared_repeats retry_extra;           ///< Beyond that share, over all daemons.
   /// A key that was taken away runs nothing that was sent this long after the acknowledgement, on
   /// no machine. Nothing: keys are as new as the configuration that a daemon holds.
   std::optional<Duration> revocation;
--- a/core/retry_budget.cc
+++ b/core/retry_budget.cc
@@ -1,69 +1,88 @@
 #include "core/retry_budget.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace ramppond {
 namespace {
 
-constexpr auto slot_span = seconds(1);
-// Half of the usual window of ten seconds over which repeats are counted: with
-// what is earned within it, such a window sees one and a half times the share.
-constexpr auto lasting_slots = std::int64_t(5);
-// A storm of repeated runs is not paid for long after it has passed.
-constexpr double most_debt = 100;
-
-auto slot_number(TimePoint now) -> std::int64_t {
-  return now / Duration(slot_span);
-}
+// A window is counted in parts: an end of it that lies within a part moves by a tenth of the
+// window.
+constexpr auto slots_a_window = std::int64_t(10);
+// The window before the one that began a window ago.
+constexpr auto remembered_slots = 2 * slots_a_window + 1;
+// Of what all daemons share, this part is used: a daemon that sends little has more in the window
+// before by chance alone, and the sum of such chances over all daemons takes up to three quarters.
+constexpr double shared_part_used = 0.25;
 
 }  // namespace
 
-void retry_budget::forget(std::int64_t current) {
-  while (!this->slots.empty() && this->slots.front().number <= current - lasting_slots) {
-    this->slots.pop_front();
-  }
+auto part_of(const shared_repeats& shared, std::size_t daemons) -> repeat_allowance {
+  return {daemons == 0 ? 0 : shared_part_used * shared.count / static_cast<double>(daemons)};
 }
 
-void retry_budget::on_first_send(TimePoint now) {
-  const auto current = slot_number(now);
+auto retry_budget::current_slot(TimePoint now) -> slot& {
+  const auto current = now / (this->window / slots_a_window);
+  while (!this->slots.empty() && this->slots.front().number <= current - remembered_slots) {
+    this->slots.pop_front();
+  }
   if (this->slots.empty() || this->slots.back().number != current) {
-    this->forget(current);
     this->slots.push_back({current, 0, 0});
   }
-  this->slots.back().earned += this->share.value;
-  const auto repaid = std::min(this->debt, this->share.value);
-  this->debt -= repaid;
-  this->slots.back().left += this->share.value - repaid;
+  return this->slots.back();
 }
 
-auto retry_budget::take(TimePoint now, budget_reserve reserve) -> bool {
-  this->forget(slot_number(now));
-  auto saved = 0.0;
-  auto earned = 0.0;
+auto retry_budget::first_sends(std::int64_t begin, std::int64_t end) const -> double {
+  auto sum = 0.0;
   for (const auto& s : this->slots) {
-    saved += s.left;
-    earned += s.earned;
+    sum += s.number >= begin && s.number < end ? s.first_sends : 0;
   }
-  if (saved < 1 || saved - 1 < earned * reserve.share) {
-    return false;
+  return sum;
+}
+
+auto retry_budget::repeats_since(std::int64_t begin) const -> double {
+  auto sum = 0.0;
+  for (const auto& s : this->slots) {
+    sum += s.number >= begin ? s.repeats : 0;
   }
-  this->pay(1);
-  return true;
+  return sum;
 }
 
-void retry_budget::charge(TimePoint now) {
-  this->forget(slot_number(now));
-  this->pay(1);
+// The least over all windows that hold the current slot, by what is known of each of them.
+auto retry_budget::left(std::int64_t current, budget_reserve reserve) const -> double {
+  auto least = std::numeric_limits<double>::max();
+  for (auto begin = current - slots_a_window; begin <= current; ++begin) {
+    const auto within = this->first_sends(begin, current + 1);
+    const auto before = this->first_sends(begin - slots_a_window, begin);
+    const auto half_before =
+        this->first_sends(begin - slots_a_window / 2, begin + slots_a_window / 2);
+    const auto counted = std::max({within, before, half_before});
+    const auto allowed = this->share.value * counted + this->allowance.count;
+    least = std::min(least, allowed * (1 - reserve.share) - this->repeats_since(begin));
+  }
+  return least;
+}
+
+void retry_budget::on_first_send(TimePoint now) {
+  this->current_slot(now).first_sends += 1;
 }
 
-// What cannot be paid now is owed: it goes off what is earned next.
-void retry_budget::pay(double owed) {
-  for (auto& s : this->slots) {
-    const auto paid = std::min(owed, s.left);
-    s.left -= paid;
-    owed -= paid;
+auto retry_budget::take(TimePoint now, budget_reserve reserve, budget_draw draw) -> bool {
+  auto& current = this->current_slot(now);
+  const auto usable = this->left(current.number, reserve);
+  if (usable >= 1) {
+    current.repeats += 1;
+    return true;
   }
-  this->debt = std::min(this->debt + owed, most_debt);
+  if (usable <= 0 || draw.value >= 1) {
+    return false;
+  }
+  current.repeats += usable;
+  return draw.value < usable;
+}
+
+void retry_budget::charge(TimePoint now) {
+  this->current_slot(now).repeats += 1;
 }
 
 }  // namespace ramppond
--- a/core/retry_budget.h
+++ b/core/retry_budget.h
@@ -1,12 +1,15 @@
 // The retry budget of one service on one daemon.
 //
-// Every first send earns a fixed share of a repeat, so the sum over all daemons
-// stays below the same share of all requests without any exchange between them,
-// after restarts too. What is earned lasts for some seconds only: otherwise a
-// quiet hour would pay for a storm, the more of it the more daemons there are.
+// In any window, repeats stay below a share of the first sends in that window, in the one before
+// it, or in the one half a window before it, whichever has the most. Each daemon keeps to that by
+// what it sends itself, so the sum over all daemons keeps to it without any exchange between them,
+// after restarts too. Beside it each daemon has its part of what all of them may repeat whatever
+// the requests. A daemon with a request a second never has a whole repeat to pay with, so what it
+// has of one is drawn for: the fleet repeats its share however thinly its requests are spread.
 // Pure, not thread safe.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 
@@ -14,44 +17,70 @@
 
 namespace ramppond {
 
-/// Repeats earned by each first send.
+/// Repeats allowed for each first send.
 struct repeat_share {
   double value = 0.1;
 };
 
-/// Share of what was earned of late that a repeat must leave for those that are worth more.
+/// Share of what is allowed that a repeat must leave for those that are worth more.
 struct budget_reserve {
   double share = 0;
 };
 
+/// A uniform draw from [0, 1): less than a whole repeat is one with that probability. With 1 only
+/// whole repeats are paid for.
+struct budget_draw {
+  double value = 1;
+};
+
+/// What all daemons together may repeat of a service's requests beyond a share of them.
+struct shared_repeats {
+  double count = 0;  ///< In any `window`.
+  Duration window = seconds(10);
+};
+
+/// Repeats that a daemon may send in a window whatever it sends else.
+struct repeat_allowance {
+  double count = 0;
+};
+
+/// The part of one of `daemons` in `shared`.
+auto part_of(const shared_repeats& shared, std::size_t daemons) -> repeat_allowance;
+
 class retry_budget {
  public:
   retry_budget() = default;
-  explicit retry_budget(repeat_share share) : share(share) {}
+  explicit retry_budget(repeat_share share, Duration window = seconds(10))
+      : share(share), window(window) {}
+
+  void set_allowance(repeat_allowance allowed) { this->allowance = allowed; }
 
   void on_first_send(TimePoint now);
 
-  /// Pays for one repeat, if `reserve` of what was earned of late is left after it. False when
-  /// there is not enough to pay with.
-  auto take(TimePoint now, budget_reserve reserve = {}) -> bool;
+  /// Pays for one repeat, if `reserve` of what is allowed is left after it. What there is of a
+  /// whole one is spent on `draw`. False when there is not enough to pay with.
+  auto take(TimePoint now, budget_reserve reserve = {}, budget_draw draw = {}) -> bool;
 
-  /// A first send that counts as a repeat, since a repeated run made it: pays for it, later if
-  /// there is nothing to pay with.
+  /// A first send that counts as a repeat, since a repeated run made it: pays for it even where
+  /// there is nothing left to pay with.
   void charge(TimePoint now);
 
  private:
   struct slot {
-    std::int64_t number;  // of a fixed span of time
-    double earned;
-    double left;  // of it, not spent
+    std::int64_t number;  // of a fixed part of the window
+    double first_sends;
+    double repeats;
   };
 
-  void forget(std::int64_t current);
-  void pay(double owed);
+  auto current_slot(TimePoint now) -> slot&;
+  [[nodiscard]] auto first_sends(std::int64_t begin, std::int64_t end) const -> double;
+  [[nodiscard]] auto repeats_since(std::int64_t begin) const -> double;
+  [[nodiscard]] auto left(std::int64_t current, budget_reserve reserve) const -> double;
 
   repeat_share share;
+  Duration window = seconds(10);
+  repeat_allowance allowance;
   std::deque<slot> slots;  // oldest first
-  double debt = 0;
 };
 
 }  // namespace ramppond
--- a/daemon/proxy/forwarded_attempt.cc
+++ b/daemon/proxy/forwarded_attempt.cc
@@ -173,7 +173,8 @@
     return false;
   }
   const budget_reserve reserve = reserve_of(is_call_, attributed_.calls_to_come);
-  if (!context_.budget(service_).take(EventLoop::now(), reserve)) {
+  const budget_draw draw = {context_.random.uniform()};
+  if (!context_.budget(service_).take(EventLoop::now(), reserve, draw)) {
     context_.counters.repeats_unpaid += 1;
     return false;
   }
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -10,9 +10,8 @@
 
 // Requests still on their way to a leaving server are let in for this share of its time.
 constexpr std::int64_t kDrainingAdmissionDivisor = 3;
-// Of the platform's ratio, this share is used: what was earned lasts for some time, so that a
-// window sees 1.5 times as much, and not every call of a repeated run is known as such.
-constexpr double kRetryRatioUsed = 0.6;
+// Of the platform's ratio, this share is used: not every call of a repeated run is known as such.
+constexpr double kRetryRatioUsed = 0.8;
 constexpr Duration kCallFailureShows = milliseconds(20);
 constexpr Duration kServerConnectTimeout = milliseconds(1000);
 constexpr Duration kPeerConnectTimeout = milliseconds(300);
@@ -102,8 +101,17 @@
   if (found != budgets.end()) {
     return found->second;
   }
-  return budgets.emplace(service, retry_budget(repeat_share{bounds.retry_ratio * kRetryRatioUsed}))
-      .first->second;
+  const repeat_share share = {bounds.retry_ratio * kRetryRatioUsed};
+  retry_budget budget(share, bounds.retry_extra.window);
+  budget.set_allowance(repeat_allowance_now);
+  return budgets.emplace(service, std::move(budget)).first->second;
+}
+
+void ProxyContext::shareRepeats() {
+  repeat_allowance_now = part_of(bounds.retry_extra, directory.size());
+  for (auto& [service, budget] : budgets) {
+    budget.set_allowance(repeat_allowance_now);
+  }
 }
 
 ServerLoad ProxyContext::serverLoad(const std::string& route) const {
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -24,6 +24,8 @@
 // The end comes this long before the platform would enforce it.
 constexpr Duration kStopMargin = milliseconds(300);
 constexpr std::uint32_t kCounterSeconds = 5;
+// All daemons are known by then. Before, each would take too large a part of what they share.
+constexpr std::uint32_t kSecondsUntilFleetKnown = 10;
 constexpr Duration kLivenessInterval = milliseconds(100);
 // A tenant that begins to send many times its limit is held back a report and an answer later:
 // within what its burst and the bound's slack pay for. Costs 0.2 KB a report.
@@ -420,6 +422,9 @@
   }
   rereadSettings(false);
   seconds_ += 1;
+  if (seconds_ >= kSecondsUntilFleetKnown) {
+    context_.shareRepeats();
+  }
   if (seconds_ % kCounterSeconds == 0) {
     logCounters();
   }
--- a/tests/platform/platform_api_test.cc
+++ b/tests/platform/platform_api_test.cc
@@ -201,6 +201,8 @@
         BoundsRow{{"grace_s=long"},
                   "bounds: grace_s: expected a number of 0 or more, found 'long'"},
         BoundsRow{{"grace_s="}, "bounds: grace_s: expected a number of 0 or more, found ''"},
+        BoundsRow{{"budget_window_s=0.5"},
+                  "bounds: budget_window_s: expected a second or more, found '0.5'"},
         BoundsRow{{"retry_budget_ratio=-1"},
                   "bounds: retry_budget_ratio: expected a number of 0 or more, found '-1'"}));
 
