--- a/control/coordinator/coordinator_process.h
+++ b/control/coordinator/coordinator_process.h
@@ -25,6 +25,9 @@
 
 namespace ramppond {
 
+/// Tokens of operators' calls lie above those of frames.
+constexpr ControlToken kFirstOperatorToken = ControlToken{1} << 62U;
+
 class CoordinatorProcess {
  public:
   CoordinatorProcess(const ExternalApi& api, const OperatingBounds& bounds,
@@ -45,6 +48,8 @@
   void serveOperator(const std::shared_ptr<ServerExchange>& exchange);
   void onReplacement(const std::string& base_version, const std::string& body,
                      const std::shared_ptr<ServerExchange>& exchange);
+  /// While the disk takes no writes.
+  static void refuseOperator(const std::shared_ptr<ServerExchange>& exchange);
   void onOperatorReply(ControlToken token, const ControlReply& reply);
   void redirectOrRefuse(const std::shared_ptr<ServerExchange>& exchange, const ControlReply& reply);
   void onFrame(FrameToken token, const Frame& frame);
