A reserve of the retry budget keeps no more than others asked for

Ruled out: smaller reserves (they would keep nothing where both kinds ask). The route's attempts are left as configured. Change: what is kept for repeats that reserve less is no more than those asked for in the last window.

--- a/core/retry_budget.cc
+++ b/core/retry_budget.cc
@@ -27,7 +27,7 @@
     this->slots.pop_front();
   }
   if (this->slots.empty() || this->slots.back().number != current) {
-    this->slots.push_back({current, 0, 0});
+    this->slots.push_back({current});
   }
   return this->slots.back();
 }
@@ -48,8 +48,20 @@
   return sum;
 }
 
+// Of the repeats that reserve less.
+auto retry_budget::asked_by_better(std::int64_t begin, budget_reserve reserve) const -> double {
+  auto sum = 0.0;
+  for (const auto& s : this->slots) {
+    for (const auto& [share, count] : s.asked) {
+      sum += s.number >= begin && share < reserve.share ? count : 0;
+    }
+  }
+  return sum;
+}
+
 // The least over all windows that hold the current slot, by what is known of each of them.
 auto retry_budget::left(std::int64_t current, budget_reserve reserve) const -> double {
+  const auto asked = this->asked_by_better(current - slots_a_window, reserve);
   auto least = std::numeric_limits<double>::max();
   for (auto begin = current - slots_a_window; begin <= current; ++begin) {
     const auto within = this->first_sends(begin, current + 1);
@@ -58,7 +70,8 @@
         this->first_sends(begin - slots_a_window / 2, begin + slots_a_window / 2);
     const auto counted = std::max({within, before, half_before});
     const auto allowed = this->share.value * counted + this->allowance.count;
-    least = std::min(least, allowed * (1 - reserve.share) - this->repeats_since(begin));
+    const auto kept = std::min(allowed * reserve.share, asked);
+    least = std::min(least, allowed - kept - this->repeats_since(begin));
   }
   return least;
 }
@@ -69,6 +82,7 @@
 
 auto retry_budget::take(TimePoint now, budget_reserve reserve, budget_draw draw) -> bool {
   auto& current = this->current_slot(now);
+  current.asked[reserve.share] += 1;
   const auto usable = this->left(current.number, reserve);
   if (usable >= 1) {
     current.repeats += 1;
--- a/core/retry_budget.h
+++ b/core/retry_budget.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 
 #include "core/time.h"
 
@@ -22,7 +23,8 @@
   double value = 0.1;
 };
 
-/// Share of what is allowed that a repeat must leave for those that are worth more.
+/// Share of what is allowed that a repeat must leave for those that are worth more, which reserve
+/// less. No more is kept for them than they asked for in the last window.
 struct budget_reserve {
   double share = 0;
 };
@@ -68,13 +70,15 @@
  private:
   struct slot {
     std::int64_t number;  // of a fixed part of the window
-    double first_sends;
-    double repeats;
+    double first_sends = 0;
+    double repeats = 0;
+    std::map<double, double> asked = {};  // repeats by the share that they reserve; a few shares
   };
 
   auto current_slot(TimePoint now) -> slot&;
   [[nodiscard]] auto first_sends(std::int64_t begin, std::int64_t end) const -> double;
   [[nodiscard]] auto repeats_since(std::int64_t begin) const -> double;
+  [[nodiscard]] auto asked_by_better(std::int64_t begin, budget_reserve reserve) const -> double;
   [[nodiscard]] auto left(std::int64_t current, budget_reserve reserve) const -> double;
 
   repeat_share share;
