Tests: a difference that does not fit, heartbeats of another writer against real processes

Seen red: HeartbeatsOfAnotherWriterNameNoServer with every service taken for a defined one (200 in place of 400). ADifferenceThatDoesNotFit... tests a new class and was not seen red.

--- a/tests/core/distribution/proxy_session_test.cc
+++ b/tests/core/distribution/proxy_session_test.cc
@@ -5,6 +5,7 @@
 
 #include "core/cbor_codec.h"
 #include "core/control/control_core.h"
+#include "core/distribution/traffic_difference.h"
 
 namespace ramppond {
 namespace {
@@ -56,6 +57,53 @@
   EXPECT_EQ(proxy.trafficIndex(), 5U);
 }
 
+ControlReply difference(std::uint64_t index, const traffic_difference& told) {
+  ProxyNews news;
+  news.registry_epoch = 7;
+  news.registry_counter = 1;
+  news.traffic_index = index;
+  news.traffic_difference = encode(told);
+  ControlReply reply;
+  reply.authoritative = true;
+  reply.proxy_news = encode(news);
+  return reply;
+}
+
+TrafficConfiguration numbered(std::uint64_t number) {
+  TrafficConfiguration configuration;
+  configuration.number = number;
+  return configuration;
+}
+
+bool takesDifferences(const OutgoingPoll& poll) {
+  return decode<ProxyPoll>(poll.request.proxy_poll)->takes_differences;
+}
+
+TEST(ProxySession, ADifferenceThatDoesNotFitIsNotTakenAndTheWholeIsAskedFor) {
+  ProxySession proxy = session();
+  auto poll = proxy.takePoll(seconds(0));
+  EXPECT_FALSE(takesDifferences(*poll));
+  proxy.onReply(poll->poll_id, reply(5, true), seconds(0));
+  poll = proxy.takePoll(seconds(1));
+  EXPECT_TRUE(takesDifferences(*poll));
+  const auto fitting = difference_of(5, numbered(5), numbered(6));
+  proxy.onReply(poll->poll_id, difference(6, fitting), seconds(1));
+  EXPECT_EQ(proxy.traffic().number, 6U);
+  poll = proxy.takePoll(seconds(2));
+  const auto of_another_base = difference_of(4, numbered(6), numbered(7));
+  proxy.onReply(poll->poll_id, difference(7, of_another_base), seconds(2));
+  EXPECT_EQ(proxy.traffic().number, 6U);
+  poll = proxy.takePoll(seconds(3));
+  EXPECT_FALSE(takesDifferences(*poll));
+  proxy.onReply(poll->poll_id, reply(7, true), seconds(3));
+  poll = proxy.takePoll(seconds(4));
+  EXPECT_TRUE(takesDifferences(*poll));
+  auto damaged = difference_of(7, numbered(7), numbered(8));
+  damaged.digest += 1;
+  proxy.onReply(poll->poll_id, difference(8, damaged), seconds(4));
+  EXPECT_EQ(proxy.traffic().number, 7U);
+}
+
 TEST(ProxySession, AnAnswerWithoutAuthorityGivesNoConfigurationAndMovesOn) {
   ProxySession proxy = session();
   const auto first = proxy.takePoll(TimePoint(0));
--- a/tests/platform/bad_input_day_test.cc
+++ b/tests/platform/bad_input_day_test.cc
@@ -142,5 +142,31 @@
   EXPECT_NE(log.str().find("bounds: expected NAME=VALUE, found '2.5'"), std::string::npos);
 }
 
+TEST_F(ForwardingDay, HeartbeatsOfAnotherWriterNameNoServer) {
+  const std::string service = R"("info":{"service":"unheard-of","slots":9,"zone":"z"})";
+  const std::string own = R"("info":{"service":"one","slots":9,"zone":"z"})";
+  const std::string ready = R"("status":{"state":"ready","seq":1,"cold_left_s":0})";
+  const std::vector<std::string> bodies = {
+      "\x01\xff"s,
+      R"({"address":"127.0.0.1:9",)" + service + "," + ready + "}",
+      R"({"address":"127.0.0.1:9",)" + own + R"(,"status":{"state":"resting","seq":1}})",
+      R"({"address":"127.0.0.1:9","born":"now",)" + own + "," + ready + "}",
+      R"({"address":7,)" + own + "," + ready + "}",
+  };
+  for (const std::string& body : bodies) {
+    const std::string head = "POST /api/instances/other/heartbeat HTTP/1.1\r\nHost: a\r\n";
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    for (int machine = 0; machine < Deployment::kServerMachines; ++machine) {
+      const std::string answer =
+          day_.sendRaw(day_.serverHost(machine), day_.ports.reports, head + length + body);
+      EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 400") << body;
+    }
+  }
+  const std::string answer =
+      day_.sendRaw(day_.serverHost(0), day_.ports.clients,
+                   "GET /one/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: after\r\n\r\n");
+  EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200") << answer;
+}
+
 }  // namespace
 }  // namespace ramppond::stand_in
