Log the limit that a server names, and read it in one place

The adapter reads the field into one type (none, a rate, unreadable with the reason), core/admission/limit_in_force knows which answer is the newest, and own_server writes server_limit when the limit changes, server_limit_unreadable, and server_limit_use beside the counters. Nothing acts on it yet. Ruled out: fields added to the lines counters and inbound_refused; their recorded form may not change.

--- a/core/external/external_api.h
+++ b/core/external/external_api.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/lifecycle/local_server.h"
+#include "core/request_rate.h"
 #include "core/retries/retry_budget.h"
 #include "core/tenants/credential.h"
 #include "core/tenants/quota_bounds.h"
@@ -31,6 +32,8 @@
   std::string base_version;     ///< In a replacement of the traffic configuration.
   std::string credential;       ///< Holds a tenant's key; removed before the server.
   std::string tenant;           ///< Set to the name of the tenant whose key a request carried.
+  std::string server_limit;     ///< In a server's answer: requests a second that it takes.
+  std::string server_leaving;   ///< In a server's answer: it is about to end.
 };
 
 enum class ExternalCallType : std::uint8_t {
@@ -74,6 +77,10 @@
   /// From the values of all fields named headers().credential.
   [[nodiscard]] virtual Credential parseCredential(
       const std::vector<std::string>& values) const = 0;
+  /// From the values of all fields named headers().server_limit.
+  [[nodiscard]] virtual named_limit parseLimit(const std::vector<std::string>& values) const = 0;
+  /// From the values of all fields named headers().server_leaving.
+  [[nodiscard]] virtual bool parseLeaving(const std::vector<std::string>& values) const = 0;
   [[nodiscard]] virtual ExternalCall classify(std::string_view method,
                                               std::string_view target) const = 0;
   [[nodiscard]] virtual Parsed<ServerHeartbeat> parseHeartbeat(const std::string& instance_id,
--- /dev/null
+++ b/core/request_rate.h
@@ -0,0 +1,28 @@
+// The type of a rate of requests, and what a server may name as the most that it takes.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace ramppond {
+
+struct request_rate {
+  double per_second = 0;
+};
+
+/// Requests a second with three decimals; empty for none. For logs.
+auto text_of(const std::optional<request_rate>& rate) -> std::string;
+
+/// The answer names no limit: the server takes what it has slots for.
+struct no_limit {};
+
+/// The answer names a limit that cannot be read, so that what was named before still stands.
+struct unreadable_limit {
+  std::string reason;
+};
+
+/// The limit that one answer of a server names: requests that it takes from all callers together.
+using named_limit = std::variant<no_limit, request_rate, unreadable_limit>;
+
+}  // namespace ramppond
--- a/daemon/proxy/inbound_answer.cc
+++ b/daemon/proxy/inbound_answer.cc
@@ -121,6 +121,10 @@
   }
   const ExternalHeaders& names = context_.api.headers();
   const bool not_run = head.find(names.not_run) != nullptr || head.status == kMisdirected;
+  if (head.status != kMisdirected) {  // Such an answer is another instance's.
+    context_.own.on_named_limit(incarnation_, context_.api.parseLimit(head.all(names.server_limit)),
+                                begun_);
+  }
   head.removeHopByHop();
   removePeerHeaders(head);
   outcome_ = outcome_of(answer_head{head.status, not_run});
--- a/daemon/proxy/own_server.cc
+++ b/daemon/proxy/own_server.cc
@@ -32,6 +32,43 @@
   }
 }
 
+void own_server::on_named_limit(const std::string& incarnation, const named_limit& answered,
+                                TimePoint begun) {
+  if (incarnation != this->judged_incarnation) {
+    return;
+  }
+  this->log_unreadable(incarnation, answered);
+  const auto now = EventLoop::now();
+  const auto before = this->named.rate();
+  if (this->named.on_answer(answered, begun, now)) {
+    logEvent(now.count(), "server_limit",
+             {{"instance", incarnation},
+              {"before", text_of(before)},
+              {"now", text_of(this->named.rate())}});
+  }
+}
+
+void own_server::log_limit_use() const {
+  if (!this->named.rate()) {
+    return;
+  }
+  const auto now = EventLoop::now();
+  logEvent(now.count(), "server_limit_use",
+           {{"instance", this->judged_incarnation},
+            {"limit", text_of(this->named.rate())},
+            {"age_us", std::to_string(this->named.age(now).count())},
+            {"dispatched", std::to_string(this->dispatched)}});
+}
+
+void own_server::log_unreadable(const std::string& incarnation, const named_limit& answered) {
+  const auto* unreadable = std::get_if<unreadable_limit>(&answered);
+  const auto now = EventLoop::now();
+  if (unreadable != nullptr && this->unreadable_log.allow(now.count())) {
+    logEvent(now.count(), this->unreadable_log.event(),
+             {{"instance", incarnation}, {"reason", unreadable->reason}});
+  }
+}
+
 void own_server::on_wrong_instance(const std::string& incarnation) {
   if (this->server.onWrongInstance(incarnation)) {
     this->report_change();
@@ -65,6 +102,7 @@
     this->judged_incarnation = incarnation;
     this->breaker = circuit_breaker();
     this->times = service_times();
+    this->named = limit_in_force();
   }
   this->apply_limits();
   this->on_changed();
@@ -97,6 +135,7 @@
 }
 
 void own_server::on_begun(const std::string& route, TimePoint now) {
+  this->dispatched += 1;
   this->times.on_begun(route, now);
 }
 
--- a/daemon/proxy/own_server.h
+++ b/daemon/proxy/own_server.h
@@ -10,7 +10,9 @@
 #include <string>
 #include <vector>
 
+#include "common/event_log.h"
 #include "core/admission/circuit_breaker.h"
+#include "core/admission/limit_in_force.h"
 #include "core/admission/server_admission.h"
 #include "core/admission/service_times.h"
 #include "core/lifecycle/local_server.h"
@@ -42,6 +44,8 @@
 
   void on_heartbeat(const ServerHeartbeat& heartbeat);
   void on_leave(const ServerLeave& leave);
+  /// An answer of `incarnation` to a request that was dispatched at `begun` names this limit.
+  void on_named_limit(const std::string& incarnation, const named_limit& named, TimePoint begun);
   /// The server said that it is another one than `incarnation`.
   void on_wrong_instance(const std::string& incarnation);
   /// The server's address refused a connection meant for `incarnation`. Returns whether other
@@ -67,12 +71,17 @@
   /// The load, as told with the answer to a request of `route`.
   [[nodiscard]] auto load(const std::string& route) const -> ServerLoad;
 
+  /// Writes the line `server_limit_use` if the server names a limit at present. To be called with
+  /// the counters.
+  void log_limit_use() const;
+
   [[nodiscard]] auto reports() const -> const LocalServer& { return this->server; }
   [[nodiscard]] auto connections() -> HttpClientPool& { return this->pool; }
   [[nodiscard]] auto admission() -> ServerAdmission& { return this->admitted; }
 
  private:
   void report_change();
+  void log_unreadable(const std::string& incarnation, const named_limit& named);
   void apply_limits();
   void tell_breaker(const ended_run& run, TimePoint now);
 
@@ -81,7 +90,10 @@
   ServerAdmission admitted;
   service_times times;
   circuit_breaker breaker;
-  std::string judged_incarnation;  // that `times` and `breaker` are about
+  limit_in_force named;
+  std::uint64_t dispatched = 0;    // requests, since the start of this proxy
+  std::string judged_incarnation;  // that `times`, `breaker` and `named` are about
+  DecisionLimit unreadable_log{"server_limit_unreadable"};
   std::vector<ServiceDefinition> services;
 };
 
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -263,6 +263,7 @@
   gauges.waiting = context_.own.admission().waiting();
   gauges.service_time = context_.own.admission().serviceTime(EventLoop::now());
   logEvent(EventLoop::now().count(), "counters", counter_fields(context_.counters, gauges));
+  context_.own.log_limit_use();
 }
 
 }  // namespace ramppond
--- a/tests/platform/platform_api_test.cc
+++ b/tests/platform/platform_api_test.cc
@@ -164,6 +164,55 @@
   EXPECT_EQ(api.parseCredential({"Bearer a", "Bearer b"}).form, CredentialForm::kMalformed);
 }
 
+struct LimitRow {
+  const char* name;
+  std::vector<std::string> values;
+  std::optional<double> rate;  ///< Of a limit that can be read.
+};
+
+void PrintTo(const LimitRow& row, std::ostream* out) {
+  *out << row.name;
+}
+
+class NamedLimitTest : public testing::TestWithParam<LimitRow> {};
+
+TEST_P(NamedLimitTest, IsADecimalNumberOfRequestsASecond) {
+  const PlatformApi api;
+  const named_limit named = api.parseLimit(GetParam().values);
+  if (GetParam().rate) {
+    ASSERT_TRUE(std::holds_alternative<request_rate>(named));
+    EXPECT_EQ(std::get<request_rate>(named).per_second, *GetParam().rate);
+  } else {
+    ASSERT_TRUE(std::holds_alternative<unreadable_limit>(named));
+    EXPECT_EQ(std::get<unreadable_limit>(named).reason,
+              "Server-Limit: expected one decimal number of 0 or more, found '" +
+                  GetParam().values.front() + "' in one of " +
+                  std::to_string(GetParam().values.size()));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, NamedLimitTest,
+    testing::Values(LimitRow{"decimal", {"12.3"}, 12.3}, LimitRow{"whole", {"400"}, 400},
+                    LimitRow{"zero", {"0"}, 0}, LimitRow{"huge", {"99999999999999999999"}, 1e20},
+                    LimitRow{"negative", {"-1"}, std::nullopt},
+                    LimitRow{"empty", {""}, std::nullopt}, LimitRow{"word", {"many"}, std::nullopt},
+                    LimitRow{"unit", {"12/s"}, std::nullopt},
+                    LimitRow{"infinite", {"inf"}, std::nullopt},
+                    LimitRow{"exponent", {"1e3"}, std::nullopt},
+                    LimitRow{"hexadecimal", {"0x1f"}, std::nullopt},
+                    LimitRow{"only_a_point", {"."}, std::nullopt},
+                    LimitRow{"two_points", {"1.2.3"}, std::nullopt},
+                    LimitRow{"two_fields", {"12", "13"}, std::nullopt}));
+
+TEST(PlatformApi, ReadsWhatAServerSaysOfItself) {
+  const PlatformApi api;
+  EXPECT_TRUE(std::holds_alternative<no_limit>(api.parseLimit({})));
+  EXPECT_FALSE(api.parseLeaving({}));
+  EXPECT_FALSE(api.parseLeaving({"0"}));
+  EXPECT_TRUE(api.parseLeaving({"1"}));
+}
+
 TEST(PlatformApi, RevocationIsBoundedOnlyWhereItIsStrict) {
   const PlatformApi api;
   EXPECT_FALSE(api.parseBounds({"revoke_s=5"}).value->revocation);
