--- /dev/null
+++ b/tests/platform/server_limit_day_test.cc
@@ -0,0 +1,82 @@
+// Servers that name in their answers how many requests a second they take, with real processes.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "tests/platform/forwarding_day.h"
+
+namespace ramppond::stand_in {
+namespace {
+
+constexpr Duration kSecond = seconds(1);
+constexpr Duration kWindow = 4 * kSecond;
+constexpr double kAllowedFactor = 1.5;
+constexpr double kAllowedBeside = 5;
+constexpr Duration kBetweenRequests = milliseconds(5);
+
+/// The most arrivals in any span of kWindow that begins at `from` or later.
+std::size_t mostInAWindow(const std::vector<TimePoint>& arrivals, TimePoint from) {
+  std::size_t most = 0;
+  auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from);
+  for (auto last = first; last != arrivals.end(); ++last) {
+    while (*last - *first > kWindow) {
+      ++first;
+    }
+    most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+  }
+  return most;
+}
+
+/// What a server that names `limit` requests a second may get in any span of kWindow.
+double allowed(double limit) {
+  return kAllowedFactor * limit * static_cast<double>(kWindow.count()) /
+             static_cast<double>(kSecond.count()) +
+         kAllowedBeside;
+}
+
+class ServerLimitDay : public ForwardingDay {
+ protected:
+  /// Requests at all machines in turn, whether or not earlier ones are answered.
+  void press(const std::string& target, Duration time) {
+    const TimePoint end = EventLoop::now() + time;
+    while (EventLoop::now() < end) {
+      const std::uint64_t number = next_++;
+      day_.sendLater(static_cast<int>(number % Deployment::kServerMachines),
+                     request(target, "press-" + std::to_string(number)),
+                     [this](const Answer& answer) { statuses_[answer.status] += 1; });
+      sent_ += 1;
+      day_.runFor(kBetweenRequests);
+    }
+  }
+  void settle() {
+    EXPECT_TRUE(day_.runUntil([this] {
+      int answered = 0;
+      for (const auto& [status, count] : statuses_) {
+        answered += count;
+      }
+      return answered == sent_;
+    }));
+  }
+
+  std::map<int, int> statuses_;  ///< Of the answers to press().
+  int sent_ = 0;
+};
+
+TEST_F(ServerLimitDay, AServerThatNamesALimitGetsNoMoreFromAllProxiesTogether) {
+  constexpr double kLimit = 10;
+  AppServer& limited = *day_.servers[0];
+  limited.named_limit = "10.0";
+  press("/one/x", milliseconds(500));
+  const TimePoint known = EventLoop::now();
+  press("/one/x", seconds(6));
+  settle();
+  EXPECT_LE(static_cast<double>(mostInAWindow(limited.arrivals, known)), allowed(kLimit));
+  RecordProperty("arrivals", static_cast<int>(limited.arrivals.size()));
+  RecordProperty("most", static_cast<int>(mostInAWindow(limited.arrivals, known)));
+  RecordProperty("sent", sent_);
+  // The other server of the service has room for all.
+  EXPECT_EQ(statuses_[200], sent_);
+}
+
+}  // namespace
+}  // namespace ramppond::stand_in
--- a/tests/platform/stand_in.cc
+++ b/tests/platform/stand_in.cc
@@ -217,6 +217,7 @@
 }
 
 void AppServer::serve(const std::shared_ptr<ServerExchange>& exchange) {
+  arrivals.push_back(EventLoop::now());
   const std::weak_ptr<ServerExchange> weak = exchange;
   exchange->setHandler(
       std::make_shared<WholeBodyHandler>(kMaximumBodyBytes, [this, weak](const std::string& body) {
@@ -268,6 +269,9 @@
   caller_service = request.get("Caller-Service");
   HttpHead head;
   head.fields.push_back({"Request-Id", id});
+  if (!named_limit.empty()) {
+    head.fields.push_back({"Server-Limit", named_limit});
+  }
   if (!expected_instance.empty() && expected_instance != instance_) {
     head.status = 421;
     exchange->respond(std::move(head), "");
--- a/tests/platform/stand_in.h
+++ b/tests/platform/stand_in.h
@@ -95,6 +95,8 @@
   std::string crashes_on;  ///< It crashes at the end of work on a target that holds this text.
   Duration time_to_restart = milliseconds(300);
   std::size_t crashes = 0;
+  std::string named_limit;          ///< Named in each answer; empty for none.
+  std::vector<TimePoint> arrivals;  ///< When each request came.
 
  private:
   void serve(const std::shared_ptr<ServerExchange>& exchange);
