Keep the limit of requests a second that a server names, beside the server

Cause: nobody read the field; admission and placement went by slots alone. Class of fault: a statement of a server about itself, in its answers, that passes through and is acted on nowhere. Ruled out: a limit that is read but does not reach the sender (the proxy beside the server sees all answers and dispatches all requests); arrivals past that proxy (arrivals equal its inbound count; no retry). Counting at each sender: needs an exchange, and is not exact in a cut. Refusing always at once: the few places would go to whoever tries most. Who waits for a place does so in the order of the queue and within its patience, else it is refused as not run ('limit'). Each answer tells peers limit and demand: placement counts the rate as it counts slots, the shed level rises when the rate binds. A proxy that starts anew beside the server is told the limit by its peers' requests, since those who passed it on are bound by it. A load told by a former incarnation's answer is no longer taken for the new one's. Conclusion: the limit is kept where the count is exact.

--- a/core/admission/inbound_refusal.cc
+++ b/core/admission/inbound_refusal.cc
@@ -28,6 +28,8 @@
       return {kind::busy, "queue", unavailable, counter::refused};
     case inbound_refusal::patience_ended:
       return {kind::busy, "waited", unavailable, counter::refused};
+    case inbound_refusal::beyond_rate:
+      return {kind::busy, "limit", unavailable, counter::refused};
     case inbound_refusal::deadline_near:
       return {kind::busy, "deadline", unavailable, counter::none};
     case inbound_refusal::not_confirmed:
--- a/core/admission/inbound_refusal.h
+++ b/core/admission/inbound_refusal.h
@@ -20,6 +20,7 @@
   breaker_open,      // the server fails its requests
   queue_full,        // no room, and its wait would exceed its patience, or too many wait
   patience_ended,    // no room came free while it waited
+  beyond_rate,       // the server names a rate that leaves no place within its patience
   deadline_near,     // too little of its time was left when there was room
   not_confirmed,     // its sender did not send the end of the request that was held back
   no_socket,         // this proxy has no socket left
--- a/core/admission/server_admission.cc
+++ b/core/admission/server_admission.cc
@@ -42,29 +42,47 @@
   return {rank, due, arrivals_++};
 }
 
-Duration ServerAdmission::expectedWait(const Position& position) const {
-  const auto ahead = std::distance(waiting_.begin(), waiting_.lower_bound(position)) + 1;
-  return service_time_.smoothed().value_or(kInitialServiceTime) * static_cast<std::int64_t>(ahead) /
-         static_cast<std::int64_t>(limit_);
+std::size_t ServerAdmission::turnOf(const Position& position) const {
+  const auto ahead = std::distance(waiting_.begin(), waiting_.lower_bound(position));
+  return static_cast<std::size_t>(ahead) + 1;
 }
 
-double ServerAdmission::utilization() const {
-  return static_cast<double>(underWay()) / static_cast<double>(limit_);
+Duration ServerAdmission::waitForSlot(const Position& position) const {
+  return service_time_.smoothed().value_or(kInitialServiceTime) *
+         static_cast<std::int64_t>(turnOf(position)) / static_cast<std::int64_t>(limit_);
+}
+
+Duration ServerAdmission::waitForRate(const Position& position, TimePoint now) const {
+  return rate_.wait_for(turnOf(position), now);
+}
+
+double ServerAdmission::utilization(TimePoint now) const {
+  const double slots = static_cast<double>(underWay()) / static_cast<double>(limit_);
+  return std::min(1.0, std::max(slots, rate_.demand(now)));
+}
+
+void ServerAdmission::setRate(std::optional<request_rate> rate, TimePoint now) {
+  rate_.set(rate, now);
 }
 
 AdmissionVerdict ServerAdmission::offer(const AdmissionRequest& request, TimePoint now) {
   if (request.is_call) {
     noteCallPriority(request.priority, now);
   }
-  if (underWay() < limit_ && waiting_.empty()) {
+  rate_.on_offer(now);
+  if (underWay() < limit_ && waiting_.empty() && rate_.take(now)) {
     service_time_.on_begun(now);
-    overload_.on_offer({utilization(), Duration(0), request.pressing_wait}, now);
+    overload_.on_offer({utilization(now), Duration(0), request.pressing_wait}, now);
     return AdmissionVerdict::kDispatch;
   }
   const Position position = positionOf(request, now);
-  const Duration wait = expectedWait(position);
-  overload_.on_offer({1, wait, request.pressing_wait}, now);
-  if (waiting_.size() >= kMaximumWaiting || wait > request.patience) {
+  const Duration slot_wait = waitForSlot(position);
+  const Duration rate_wait = waitForRate(position, now);
+  overload_.on_offer({1, std::max(slot_wait, rate_wait), request.pressing_wait}, now);
+  if (rate_wait > request.patience) {
+    return AdmissionVerdict::kRefuseForRate;
+  }
+  if (waiting_.size() >= kMaximumWaiting || slot_wait > request.patience) {
     return AdmissionVerdict::kRefuse;
   }
   waiting_[position] = {request.id, now + request.patience};
@@ -109,6 +127,9 @@
     if (waiting.until < now) {
       continue;  // takeExpired() returns it.
     }
+    if (!rate_.take(now)) {
+      return std::nullopt;
+    }
     const AdmissionId id = waiting.id;
     positions_.erase(id);
     waiting_.erase(position);
@@ -132,6 +153,13 @@
   return expired;
 }
 
+std::optional<TimePoint> ServerAdmission::nextPlace(TimePoint now) const {
+  if (waiting_.empty() || !waitsForRate()) {
+    return std::nullopt;
+  }
+  return now + rate_.wait_for(1, now);
+}
+
 std::optional<TimePoint> ServerAdmission::nextExpiry() const {
   std::optional<TimePoint> next;
   for (const auto& [position, waiting] : waiting_) {
--- a/core/placement/instance_directory.cc
+++ b/core/placement/instance_directory.cc
@@ -52,6 +52,11 @@
 constexpr std::uint32_t kMaximumPauseDoublings = 4;
 // Slots that a server is taken to have at least before its load was reported.
 constexpr double kAssumedSlots = 8;
+// The demand that a server with a named rate reported counts half after this time. It falls as the
+// inverse of its age, so that many proxies beyond the rate come back the later the more they are.
+constexpr Duration kDemandHalvedAfter = seconds(1);
+// Requests a second that a server which names less is taken to name.
+constexpr double kLeastNamedRate = 0.25;
 // Bounds memory: routes with a known service time at one server.
 constexpr std::size_t kMaximumRoutes = 64;
 
@@ -65,6 +70,11 @@
 
 }  // namespace
 
+std::optional<rate_load> KnownInstance::rate() const {
+  const bool current = named_rate && named_rate->incarnation == record.server_incarnation;
+  return current ? std::optional<rate_load>(named_rate->load) : std::nullopt;
+}
+
 InstanceDirectory::InstanceDirectory(InstanceDirectoryOptions options)
     : options_(std::move(options)), random_(options_.random_seed) {}
 
@@ -122,12 +132,25 @@
   return daemons;
 }
 
-double InstanceDirectory::utilization(const KnownInstance& instance) {
+double InstanceDirectory::rateUtilization(const KnownInstance& instance, TimePoint now) {
+  const std::optional<rate_load> rate = instance.rate();
+  if (!rate) {
+    return 0;
+  }
+  const double age = static_cast<double>((now - instance.load_reported).count()) /
+                     static_cast<double>(kDemandHalvedAfter.count());
+  const double sent =
+      (instance.sent_since_report + 1) / std::max(rate->limit.per_second, kLeastNamedRate);
+  return rate->demand / (1 + age) + sent;
+}
+
+double InstanceDirectory::utilization(const KnownInstance& instance, TimePoint now) {
   const double reported = instance.load.limit;
   const double limit =
       reported > 0 ? reported : std::max<double>(instance.record.slots, kAssumedSlots);
   const double busy = instance.load.under_way + instance.load.waiting + instance.sent_since_report;
-  return (std::max<double>(busy, instance.sent) + 1) / limit;
+  const double slots = (std::max<double>(busy, instance.sent) + 1) / limit;
+  return std::max(slots, rateUtilization(instance, now));
 }
 
 bool InstanceDirectory::hasRecentLoad(const KnownInstance& instance, TimePoint now) {
@@ -186,7 +209,7 @@
 
 double InstanceDirectory::cost(const KnownInstance& instance, const std::string& route,
                                const ServiceBaseline& baseline, TimePoint now) {
-  const double utilized = utilization(instance);
+  const double utilized = utilization(instance, now);
   const double slower = slowness(instance, route, baseline, now);
   double cost = kIdleCost + std::min(utilized, 1.0);
   cost *= std::max(1.0, slower / kOrdinarySpeedRatio);
@@ -247,6 +270,10 @@
     instance.service_times[route] = {load.service_time, now};
   }
   instance.load = load;
+  instance.named_rate.reset();
+  if (load.rate) {
+    instance.named_rate = {instance.record.server_incarnation, *load.rate};
+  }
   instance.load_reported = now;
   instance.sent_since_report = 0;
 }
--- a/core/placement/instance_directory.h
+++ b/core/placement/instance_directory.h
@@ -23,18 +23,20 @@
 #include "core/distribution/instance_registry.h"
 #include "core/placement/peer_liveness.h"
 #include "core/random.h"
+#include "core/request_rate.h"
 #include "core/time.h"
 
 namespace ramppond {
 
 /// The load of a server, as the proxy beside it reports with each answer.
 struct ServerLoad {
-  std::uint32_t limit = 0;            ///< Requests that the proxy dispatches to it at a time.
-  std::uint32_t under_way = 0;        ///< Requests that the server works on.
-  std::uint32_t waiting = 0;          ///< Requests that wait for a slot.
-  Duration service_time{0};           ///< For requests of the answered route; 0 for unknown.
-  std::uint32_t failed_permille = 0;  ///< Share of recent requests failed or left unanswered.
-  shed_level shed = {};               ///< Work to keep away from it.
+  std::uint32_t limit = 0;             ///< Requests that the proxy dispatches to it at a time.
+  std::uint32_t under_way = 0;         ///< Requests that the server works on.
+  std::uint32_t waiting = 0;           ///< Requests that wait for a slot.
+  Duration service_time{0};            ///< For requests of the answered route; 0 for unknown.
+  std::uint32_t failed_permille = 0;   ///< Share of recent requests failed or left unanswered.
+  shed_level shed = {};                ///< Work to keep away from it.
+  std::optional<rate_load> rate = {};  ///< If the server names a limit of requests a second.
 };
 
 /// A server as the directory knows it. Pointers stay valid for the life of the directory.
@@ -54,6 +56,16 @@
   TimePoint refused_until{0};  ///< It refused a request lately; others are asked first.
   TimePoint fenced_until{0};   ///< It takes no requests any more, as its proxy answered.
   peer_liveness liveness;      ///< Of its proxy.
+  struct NamedRate {
+    std::string incarnation;  ///< Of the server that names it.
+    rate_load load;
+  };
+  /// As the server's last answer told. It outlasts a restart of the proxy, which knows nothing of
+  /// it then.
+  std::optional<NamedRate> named_rate;
+
+  /// The rate that the server of the record names.
+  [[nodiscard]] std::optional<rate_load> rate() const;
 };
 
 struct InstanceDirectoryOptions {
@@ -107,8 +119,10 @@
  private:
   void watch(KnownInstance& instance);
   void moveToService(KnownInstance& instance, const std::string& service);
-  /// Requests at the server, the next one included, as a share of its limit; may exceed 1.
-  [[nodiscard]] static double utilization(const KnownInstance& instance);
+  /// Share of its slots or of the rate that it names in use, whichever is higher, the next request
+  /// included; may exceed 1.
+  [[nodiscard]] static double utilization(const KnownInstance& instance, TimePoint now);
+  [[nodiscard]] static double rateUtilization(const KnownInstance& instance, TimePoint now);
   [[nodiscard]] static bool hasRecentLoad(const KnownInstance& instance, TimePoint now);
   /// Nothing if it was reported too long ago.
   [[nodiscard]] static std::optional<Duration> recentServiceTime(const KnownInstance& instance,
--- a/core/request_rate.h
+++ b/core/request_rate.h
@@ -14,6 +14,12 @@
 /// Requests a second with three decimals; empty for none. For logs.
 auto text_of(const std::optional<request_rate>& rate) -> std::string;
 
+/// The limit that a server names, and what is offered to it of late as a multiple of that.
+struct rate_load {
+  request_rate limit;
+  double demand = 0;
+};
+
 /// The answer names no limit: the server takes what it has slots for.
 struct no_limit {};
 
--- a/daemon/proxy/forwarded_answer.cc
+++ b/daemon/proxy/forwarded_answer.cc
@@ -54,10 +54,11 @@
 
 void ForwardedRequest::noteLoad(const HttpHead& head) {
   const TimePoint now = EventLoop::now();
-  const auto load = parseLoad(head.find(kPeerLoad));
-  if (!load) {
+  auto load = parseLoad(head.find(kPeerLoad));
+  if (!load || attempt_->is_superseded()) {
     return;
   }
+  load->rate = parseRate(head.find(kPeerRate));
   context_.directory.onLoad(attempt_->instance, terms_.route->name, *load, now);
   auto levels = parseOverload(head.find(kPeerOverload));
   levels = highest_levels(std::move(levels), {{terms_.service, load->shed}});
--- a/daemon/proxy/forwarded_attempt.cc
+++ b/daemon/proxy/forwarded_attempt.cc
@@ -56,12 +56,15 @@
   auto head = parts.request;
   const auto patience_left = terms.patience() - parts.waited;
   head.set(parts.deadline_field, formatMilliseconds(parts.time_left));
-  add_field(head, kPeerInstance, parts.instance.server_incarnation);
+  add_field(head, kPeerInstance, parts.instance.record.server_incarnation);
   add_field(head, kPeerService, terms.service);
   add_field(head, kPeerRoute, terms.route->name);
   add_field(head, kPeerDigest, parts.digest);
   add_field(head, kPeerPriority, std::to_string(terms.rank));
   add_field(head, kPeerPatienceMs, formatMilliseconds(patience_left));
+  if (const auto rate = parts.instance.rate()) {
+    add_field(head, kPeerToldRate, formatRate(*rate));
+  }
   add_mark(head, kPeerCall, terms.is_call);
   add_mark(head, kPeerRetryable, terms.may_run_twice());
   add_mark(head, kPeerSuspect, parts.history.lost_runs > 0);
--- a/daemon/proxy/forwarded_attempt.h
+++ b/daemon/proxy/forwarded_attempt.h
@@ -56,7 +56,7 @@
   };
 
   forwarded_attempt(EventLoop& loop, KnownInstance& instance)
-      : instance(instance), confirm_timer(loop) {}
+      : instance(instance), incarnation(instance.record.server_incarnation), confirm_timer(loop) {}
 
   /// Hands the request over. Its end is held back if it must not run twice and its body is whole.
   void send(HttpClientPool& peer, HttpHead head, const forwarded_body& body, bool may_run_twice,
@@ -64,6 +64,10 @@
   /// The peer has room: the end of the request follows.
   void confirm();
 
+  /// Whether another incarnation has taken the place of the one that the request was sent to.
+  [[nodiscard]] auto is_superseded() const -> bool {
+    return this->instance.record.server_incarnation != this->incarnation;
+  }
   [[nodiscard]] auto is_held_back() const -> bool { return this->end == request_end::held_back; }
   /// Whether a server can have received the whole request.
   [[nodiscard]] auto may_have_arrived() const -> bool {
@@ -75,6 +79,7 @@
   }
 
   KnownInstance& instance;
+  std::string incarnation;  // of the server that the request was sent to
   std::shared_ptr<ClientExchange> upstream;
   attempt_answer answer;
   LoopTimer confirm_timer;  // runs while the end is held back
@@ -88,7 +93,7 @@
   const HttpHead& request;
   const forwarded_terms& terms;
   const forwarded_history& history;
-  const InstanceRecord& instance;
+  const KnownInstance& instance;
   const std::string& digest;
   const std::string& deadline_field;  // name of the field
   Duration waited{0};                 // since the request came
--- a/daemon/proxy/forwarded_retry.cc
+++ b/daemon/proxy/forwarded_retry.cc
@@ -50,7 +50,7 @@
   history_.tried.insert(instance.record.proxy_address);
   context_.counters.attempts += 1;
   HttpHead head =
-      head_for_peer({exchange_->request(), terms_, history_, instance.record, digest_,
+      head_for_peer({exchange_->request(), terms_, history_, instance, digest_,
                      context_.api.headers().deadline_ms, now - terms_.received, timeLeft()});
   context_.directory.onSent(instance, now);
   context_.under_way.insert(this);
--- a/daemon/proxy/inbound_answer.cc
+++ b/daemon/proxy/inbound_answer.cc
@@ -72,6 +72,21 @@
   exchange->respond(std::move(head), "");
 }
 
+void InboundRequest::refuseForRate() {
+  const TimePoint now = EventLoop::now();
+  context_.own.on_refused_for_rate();
+  if (context_.limit_log.allow(now.count())) {
+    logEvent(now.count(), context_.limit_log.event(),
+             {{"request", exchange_->request().get(context_.api.headers().request_id)},
+              {"instance", incarnation_},
+              {"limit", text_of(context_.own.limit().rate())},
+              {"age_us", std::to_string(context_.own.limit().age(now).count())},
+              {"demand", std::to_string(context_.own.admission().demand(now))},
+              {"held_us", std::to_string((now - received_).count())}});
+  }
+  refuse(inbound_refusal::beyond_rate);
+}
+
 void InboundRequest::logRefusal(const std::string& outcome, const std::string& reason,
                                 TimePoint now) {
   if (!context_.refusal_log.allow(now.count())) {
@@ -107,7 +122,11 @@
 }
 
 void InboundRequest::addLoad(HttpHead& head) {
-  head.fields.push_back({std::string(kPeerLoad), formatLoad(context_.own.load(route_))});
+  const ServerLoad load = context_.own.load(route_);
+  head.fields.push_back({std::string(kPeerLoad), formatLoad(load)});
+  if (load.rate) {
+    head.fields.push_back({std::string(kPeerRate), formatRate(*load.rate)});
+  }
   const std::string below = formatOverload(
       overload_of_calls(route_, context_.calls, context_.overload, EventLoop::now()));
   if (!below.empty()) {
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -61,6 +61,9 @@
   retryable_ = head.find(kPeerRetryable) != nullptr;
   retry_ = head.find(kPeerRetry) != nullptr;
   held_back_ = parseBodyForm(head.get(kPeerConfirm));
+  if (const auto told = parseRate(head.find(kPeerToldRate))) {
+    context_.own.on_told_limit(incarnation_, told->limit);
+  }
   removePeerHeaders(head);
 }
 
@@ -142,15 +145,20 @@
   state_ = State::kAwaitingRoom;
   admission_.service_time = context_.own.service_time(route_);
   const AdmissionVerdict verdict = context_.own.admission().offer(admission_, EventLoop::now());
-  if (verdict == AdmissionVerdict::kRefuse) {
-    refuse(inbound_refusal::queue_full);
-    return;
+  switch (verdict) {
+    case AdmissionVerdict::kDispatch:
+      onAdmitted();
+      break;
+    case AdmissionVerdict::kWait:
+      context_.waiting.add(admission_.id, weak_from_this());
+      break;
+    case AdmissionVerdict::kRefuse:
+      refuse(inbound_refusal::queue_full);
+      break;
+    case AdmissionVerdict::kRefuseForRate:
+      refuseForRate();
+      break;
   }
-  if (verdict == AdmissionVerdict::kDispatch) {
-    onAdmitted();
-    return;
-  }
-  context_.waiting.add(admission_.id, weak_from_this());
 }
 
 void InboundRequest::onAdmitted() {
@@ -224,7 +232,11 @@
 
 void InboundRequest::onPatienceEnded() {
   if (state_ == State::kAwaitingRoom) {
-    refuse(inbound_refusal::patience_ended);
+    if (context_.own.admission().waitsForRate()) {
+      refuseForRate();
+    } else {
+      refuse(inbound_refusal::patience_ended);
+    }
   }
 }
 
@@ -239,9 +251,10 @@
   }
   under_way_ = false;
   context_.calls.on_ended(admission_.id, outcome == ServerOutcome::kAnswered);
+  const bool sent = upstream_ != nullptr && upstream_->sent();
   const bool reused = upstream_ != nullptr && upstream_->reusedConnection();
   const Duration since_failed_call = EventLoop::now() - context_.last_failed_forward;
-  context_.own.on_ended({route_, begun_, outcome, reused, since_failed_call});
+  context_.own.on_ended({route_, begun_, outcome, sent, reused, since_failed_call});
   context_.waiting.pump();
 }
 
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -74,6 +74,8 @@
   bool refuseIfFenced();
   /// Answers in place of the server and ends the request.
   void refuse(inbound_refusal refusal);
+  /// The server names a rate that leaves no place for it in time.
+  void refuseForRate();
   void logRefusal(const std::string& outcome, const std::string& reason, TimePoint now);
   void count(refusal_counter counter);
   void finishServerWork(ServerOutcome outcome);
--- a/daemon/proxy/own_server.cc
+++ b/daemon/proxy/own_server.cc
@@ -41,13 +41,27 @@
   const auto now = EventLoop::now();
   const auto before = this->named.rate();
   if (this->named.on_answer(answered, begun, now)) {
-    logEvent(now.count(), "server_limit",
-             {{"instance", incarnation},
-              {"before", text_of(before)},
-              {"now", text_of(this->named.rate())}});
+    this->apply_rate(before);
   }
 }
 
+void own_server::on_told_limit(const std::string& incarnation, request_rate told) {
+  const auto before = this->named.rate();
+  if (incarnation == this->judged_incarnation &&
+      this->named.on_told_by_peer(told, EventLoop::now())) {
+    this->apply_rate(before);
+  }
+}
+
+void own_server::apply_rate(const std::optional<request_rate>& before) {
+  const auto now = EventLoop::now();
+  this->admitted.setRate(this->named.rate(), now);
+  logEvent(now.count(), "server_limit",
+           {{"instance", this->judged_incarnation},
+            {"before", text_of(before)},
+            {"now", text_of(this->named.rate())}});
+}
+
 void own_server::log_limit_use() const {
   if (!this->named.rate()) {
     return;
@@ -57,7 +71,8 @@
            {{"instance", this->judged_incarnation},
             {"limit", text_of(this->named.rate())},
             {"age_us", std::to_string(this->named.age(now).count())},
-            {"dispatched", std::to_string(this->dispatched)}});
+            {"dispatched", std::to_string(this->dispatched)},
+            {"refused", std::to_string(this->beyond_rate)}});
 }
 
 void own_server::log_unreadable(const std::string& incarnation, const named_limit& answered) {
@@ -103,6 +118,7 @@
     this->breaker = circuit_breaker();
     this->times = service_times();
     this->named = limit_in_force();
+    this->admitted.setRate(std::nullopt, EventLoop::now());
   }
   this->apply_limits();
   this->on_changed();
@@ -144,6 +160,9 @@
   this->times.on_ended(run.route, run.begun, isWork(run.outcome), now);
   this->tell_breaker(run, now);
   this->admitted.onFinished(run.begun, run.outcome, now);
+  if (!run.sent) {
+    this->admitted.onNeverSent(now);
+  }
 }
 
 void own_server::tell_breaker(const ended_run& run, TimePoint now) {
@@ -173,6 +192,9 @@
   load.service_time = this->times.of(route, now).value_or(Duration(0));
   load.failed_permille = this->admitted.failedPermille();
   load.shed = this->admitted.shedLevel(now);
+  if (const auto rate = this->named.rate()) {
+    load.rate = rate_load{*rate, this->admitted.demand(now)};
+  }
   return load;
 }
 
--- a/daemon/proxy/own_server.h
+++ b/daemon/proxy/own_server.h
@@ -28,6 +28,7 @@
   std::string route;
   TimePoint begun{0};
   ServerOutcome outcome = ServerOutcome::kAnswered;
+  bool sent = true;                // to the server: some of it may have arrived
   bool reused_connection = false;  // to the server; it had rested before
   Duration since_failed_call{0};   // see signal_of() in core/admission/run_outcome.h
 };
@@ -46,6 +47,8 @@
   void on_leave(const ServerLeave& leave);
   /// An answer of `incarnation` to a request that was dispatched at `begun` names this limit.
   void on_named_limit(const std::string& incarnation, const named_limit& named, TimePoint begun);
+  /// A peer was told this limit by an answer of `incarnation`.
+  void on_told_limit(const std::string& incarnation, request_rate told);
   /// The server said that it is another one than `incarnation`.
   void on_wrong_instance(const std::string& incarnation);
   /// The server's address refused a connection meant for `incarnation`. Returns whether other
@@ -68,9 +71,14 @@
   /// To be called once for each request that was dispatched.
   void on_ended(const ended_run& run);
 
+  /// A request was refused for the limit that the server names.
+  void on_refused_for_rate() { this->beyond_rate += 1; }
+
   /// The load, as told with the answer to a request of `route`.
   [[nodiscard]] auto load(const std::string& route) const -> ServerLoad;
 
+  /// The limit that the server names at present.
+  [[nodiscard]] auto limit() const -> const limit_in_force& { return this->named; }
   /// Writes the line `server_limit_use` if the server names a limit at present. To be called with
   /// the counters.
   void log_limit_use() const;
@@ -81,6 +89,7 @@
 
  private:
   void report_change();
+  void apply_rate(const std::optional<request_rate>& before);
   void log_unreadable(const std::string& incarnation, const named_limit& named);
   void apply_limits();
   void tell_breaker(const ended_run& run, TimePoint now);
@@ -92,6 +101,7 @@
   circuit_breaker breaker;
   limit_in_force named;
   std::uint64_t dispatched = 0;    // requests, since the start of this proxy
+  std::uint64_t beyond_rate = 0;   // refused for the limit, since then
   std::string judged_incarnation;  // that `times`, `breaker` and `named` are about
   DecisionLimit unreadable_log{"server_limit_unreadable"};
   std::vector<ServiceDefinition> services;
--- a/daemon/proxy/peer_headers.cc
+++ b/daemon/proxy/peer_headers.cc
@@ -17,6 +17,12 @@
 constexpr double kThousand = 1000;
 constexpr std::uint64_t kMostPermille = 1000000;
 
+// Values beyond all use are taken for the largest one.
+std::uint64_t thousandths(double value) {
+  constexpr double kMost = 1e12;
+  return static_cast<std::uint64_t>(std::llround(std::min(value, kMost) * kThousand));
+}
+
 std::uint64_t permille(shed_level level) {
   return static_cast<std::uint64_t>(std::lround(level.value * kThousand));
 }
@@ -42,6 +48,29 @@
          std::to_string(load.failed_permille) + "/" + std::to_string(permille(load.shed));
 }
 
+std::string formatRate(const rate_load& rate) {
+  return std::to_string(thousandths(rate.limit.per_second)) + "/" +
+         std::to_string(thousandths(rate.demand));
+}
+
+std::optional<rate_load> parseRate(const std::string* text) {
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  char* end = nullptr;
+  const std::uint64_t limit = std::strtoull(text->c_str(), &end, 10);
+  if (end == text->c_str() || *end != '/') {
+    return std::nullopt;
+  }
+  const char* const second = end + 1;
+  const std::uint64_t demand = std::strtoull(second, &end, 10);
+  if (end == second || *end != '\0') {
+    return std::nullopt;
+  }
+  return rate_load{{static_cast<double>(limit) / kThousand},
+                   static_cast<double>(demand) / kThousand};
+}
+
 std::string formatOverload(const std::vector<service_overload>& levels) {
   std::string text;
   for (const service_overload& entry : levels) {
--- a/daemon/proxy/peer_headers.h
+++ b/daemon/proxy/peer_headers.h
@@ -49,6 +49,13 @@
 /// thousandths of recent requests that failed/shed level in thousandths of a rank".
 constexpr std::string_view kPeerLoad = "Ramppond-Load";
 
+/// Answers: the limit that the server names, "requests a second/demand as a multiple of it", both
+/// in thousandths. Absent while it names none.
+constexpr std::string_view kPeerRate = "Ramppond-Rate";
+/// Requests: the limit of that instance which the sender was told last, in the same form, for a
+/// proxy that has started anew since.
+constexpr std::string_view kPeerToldRate = "Ramppond-Told-Rate";
+
 /// The request was not handed to the server, for want of room.
 constexpr std::string_view kOutcomeBusy = "busy";
 /// It was not handed to the server: that instance takes no requests any more.
@@ -76,6 +83,9 @@
 void removePeerHeaders(HttpHead& head);
 std::string formatLoad(const ServerLoad& load);
 std::optional<ServerLoad> parseLoad(const std::string* text);
+std::string formatRate(const rate_load& rate);
+/// Nothing if the text is not of the form.
+std::optional<rate_load> parseRate(const std::string* text);
 /// Services whose names would break the form are left out.
 std::string formatOverload(const std::vector<service_overload>& levels);
 /// Entries that are not of the form are passed over.
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -81,6 +81,7 @@
   DecisionLimit own_answer_log{"own_answer"};    ///< Answers made here in place of a server's.
   DecisionLimit retry_log{"repeat"};             ///< Retries.
   DecisionLimit refusal_log{"inbound_refused"};  ///< Requests of peers that were not run here.
+  DecisionLimit limit_log{"inbound_limited"};    ///< Of these, for the rate that the server names.
 };
 
 }  // namespace ramppond
--- a/daemon/proxy/waiting_requests.cc
+++ b/daemon/proxy/waiting_requests.cc
@@ -8,7 +8,7 @@
 namespace ramppond {
 namespace {
 
-// An expiry that is due at once is not looked for more often than this.
+// What is due at once is not looked for more often than this.
 constexpr auto least_timer = milliseconds(1);
 
 }  // namespace
@@ -49,11 +49,16 @@
     const auto request = this->take(*id);
     if (request == nullptr) {
       this->admission.onFinished(now, ServerOutcome::kWithdrawn, now);
+      this->admission.onNeverSent(now);
       continue;
     }
     request->onAdmitted();
   }
-  const auto next = this->admission.nextExpiry();
+  auto next = this->admission.nextExpiry();
+  const auto place = this->admission.nextPlace(now);
+  if (place) {
+    next = std::min(*place, next.value_or(*place));
+  }
   if (next) {
     this->timer.after(std::max<Duration>(*next - now, least_timer), [this] { this->pump(); });
   }
--- a/tests/core/admission/inbound_refusal_test.cc
+++ b/tests/core/admission/inbound_refusal_test.cc
@@ -53,6 +53,8 @@
                                  503, counter::refused},
                     refusal_case{"patience_ended", inbound_refusal::patience_ended, kind::busy,
                                  "waited", 503, counter::refused},
+                    refusal_case{"beyond_rate", inbound_refusal::beyond_rate, kind::busy, "limit",
+                                 503, counter::refused},
                     refusal_case{"deadline_near", inbound_refusal::deadline_near, kind::busy,
                                  "deadline", 503, counter::none},
                     refusal_case{"not_confirmed", inbound_refusal::not_confirmed, kind::busy,
--- a/tests/core/admission/server_admission_test.cc
+++ b/tests/core/admission/server_admission_test.cc
@@ -210,5 +210,54 @@
   EXPECT_LT(admission.serviceTime(seconds(2)), milliseconds(100));
 }
 
+class LimitedAdmission : public testing::Test {
+ protected:
+  LimitedAdmission() {
+    admission_.setSlots(100);
+    admission_.setRate(request_rate{10}, TimePoint(0));
+  }
+  ServerAdmission admission_;
+};
+
+TEST_F(LimitedAdmission, WaitsForItsPlaceInTheRateAndTheMoreUrgentGoesFirst) {
+  EXPECT_EQ(admission_.offer({1, 2, kLongPatience}, TimePoint(0)), AdmissionVerdict::kWait);
+  EXPECT_EQ(admission_.offer({2, 0, kLongPatience}, TimePoint(0)), AdmissionVerdict::kWait);
+  EXPECT_TRUE(admission_.waitsForRate());
+  EXPECT_EQ(admission_.nextPlace(TimePoint(0)), milliseconds(100));
+  EXPECT_EQ(admission_.takeDispatchable(milliseconds(99)), std::nullopt);
+  EXPECT_EQ(admission_.takeDispatchable(milliseconds(100)), AdmissionId{2});
+  EXPECT_EQ(admission_.takeDispatchable(milliseconds(100)), std::nullopt);
+  EXPECT_EQ(admission_.takeDispatchable(milliseconds(200)), AdmissionId{1});
+  EXPECT_EQ(admission_.nextPlace(milliseconds(200)), std::nullopt);
+}
+
+TEST_F(LimitedAdmission, RefusesAtOnceWhatWouldWaitLongerThanItMay) {
+  EXPECT_EQ(admission_.offer({1, 0, milliseconds(99)}, TimePoint(0)),
+            AdmissionVerdict::kRefuseForRate);
+  EXPECT_EQ(admission_.offer({2, 0, kPatience}, TimePoint(0)), AdmissionVerdict::kWait);
+  EXPECT_EQ(admission_.offer({3, 0, kPatience}, TimePoint(0)), AdmissionVerdict::kRefuseForRate);
+  EXPECT_EQ(admission_.failedPermille(), 0U);
+}
+
+TEST_F(LimitedAdmission, APlaceThatWasNotUsedIsThereAgain) {
+  const TimePoint now = milliseconds(100);
+  EXPECT_EQ(admission_.offer({1, 0, kPatience}, now), AdmissionVerdict::kDispatch);
+  admission_.onFinished(now, ServerOutcome::kWithdrawn, now);
+  admission_.onNeverSent(now);
+  EXPECT_EQ(admission_.offer({2, 0, kPatience}, now), AdmissionVerdict::kDispatch);
+}
+
+TEST_F(LimitedAdmission, ARateThatBindsRaisesTheShedLevelWhileSlotsAreIdle) {
+  TimePoint now{0};
+  for (AdmissionId id = 1; id <= 200; ++id) {
+    now += milliseconds(10);
+    admission_.offer({id, 0, kPatience, kPatience}, now);
+    admission_.takeExpired(now);
+    admission_.takeDispatchable(now);
+  }
+  EXPECT_GT(admission_.shedLevel(now).value, 0.5);
+  EXPECT_GT(admission_.demand(now), 5);
+}
+
 }  // namespace
 }  // namespace ramppond
--- a/tests/core/placement/instance_directory_test.cc
+++ b/tests/core/placement/instance_directory_test.cc
@@ -218,5 +218,53 @@
   EXPECT_EQ(choose(), "");
 }
 
+ServerLoad limitedTo(double per_second, double demand) {
+  ServerLoad load;
+  load.limit = 10;
+  load.rate = rate_load{{per_second}, demand};
+  return load;
+}
+
+TEST_F(InstanceDirectoryTest, AServerIsOfferedNoMoreThanTheRateThatItNames) {
+  directory_.offer(record("far", "zone-b"));
+  directory_.offer(record("near", "zone-a"));
+  directory_.onLoad(find("near"), "route", limitedTo(10, 2), now_);
+  EXPECT_EQ(choose(), "far");
+  now_ += seconds(9);  // Too old to keep it from a server of the own zone.
+  EXPECT_EQ(choose(), "near");
+  for (int sent = 0; sent < 10; ++sent) {
+    directory_.onSent(find("near"), now_);
+    directory_.onEnded(find("near"));
+  }
+  EXPECT_EQ(choose(), "far");
+}
+
+TEST_F(InstanceDirectoryTest, ANamedRateOutlastsARestartOfTheProxyButNotOfTheServer) {
+  InstanceRecord changed = record("near", "zone-a");
+  directory_.offer(changed);
+  KnownInstance& near = find("near");
+  directory_.onLoad(near, "route", limitedTo(10, 2), now_);
+  changed.proxy_incarnation = 2;
+  changed.server_incarnation = "";
+  directory_.offer(changed);
+  EXPECT_FALSE(near.rate());
+  changed.revision = 2;
+  changed.server_incarnation = "i-near";
+  directory_.offer(changed);
+  ASSERT_TRUE(near.rate());
+  EXPECT_EQ(near.rate()->limit.per_second, 10);
+  changed.revision = 3;
+  changed.server_incarnation = "i-next";
+  directory_.offer(changed);
+  EXPECT_FALSE(near.rate());
+}
+
+TEST_F(InstanceDirectoryTest, ARateThatIsNamedNoMoreIsForgotten) {
+  directory_.offer(record("near", "zone-a"));
+  directory_.onLoad(find("near"), "route", limitedTo(10, 2), now_);
+  directory_.onLoad(find("near"), "route", {10, 1, 0, milliseconds(10), 0}, now_);
+  EXPECT_FALSE(find("near").rate());
+}
+
 }  // namespace
 }  // namespace ramppond
--- a/tests/daemon/proxy/forwarded_attempt_test.cc
+++ b/tests/daemon/proxy/forwarded_attempt_test.cc
@@ -59,6 +59,7 @@
   std::uint32_t lost_runs = 0;
   bool may_have_run = false;
   bool of_retried_run = false;
+  std::optional<double> told_rate = std::nullopt;  // requests a second
 };
 
 void PrintTo(const head_case& tested, std::ostream* out) {
@@ -82,8 +83,11 @@
   auto history = forwarded_history();
   history.lost_runs = tested.lost_runs;
   history.may_have_run = tested.may_have_run;
-  auto instance = InstanceRecord();
-  instance.server_incarnation = "i-1";
+  auto instance = KnownInstance();
+  instance.record.server_incarnation = "i-1";
+  if (tested.told_rate) {
+    instance.named_rate = {"i-1", {{*tested.told_rate}, 2}};
+  }
   auto request = HttpHead();
   request.fields = {{"Host", "h"}, {"Deadline", "99999"}};
   const auto digest = std::string("d");
@@ -115,7 +119,9 @@
                   true},
         head_case{"everything",
                   "Ramppond-Call=1 Ramppond-Repeatable=1 Ramppond-Suspect=1 Ramppond-Repeat=1 ",
-                  true, RequestKind::kDownload, 1, true, true}),
+                  true, RequestKind::kDownload, 1, true, true},
+        head_case{"told_a_rate", "Ramppond-Told-Rate=12300/2000 ", false, RequestKind::kUnsafe, 0,
+                  false, false, 12.3}),
     [](const auto& info) { return std::string(info.param.name); });
 
 }  // namespace
--- a/tests/daemon/proxy/own_server_test.cc
+++ b/tests/daemon/proxy/own_server_test.cc
@@ -81,5 +81,32 @@
   EXPECT_GT(this->server.load("").limit, 1U);
 }
 
+TEST_F(own_server_of_a_proxy, tells_peers_the_limit_that_it_names) {
+  this->server.on_heartbeat(heartbeat_of("a", 1));
+  const auto a = heartbeat_of("a", 1).incarnation();
+  EXPECT_FALSE(this->server.load("").rate);
+  this->server.on_named_limit(a, request_rate{12}, EventLoop::now());
+  ASSERT_TRUE(this->server.load("").rate);
+  EXPECT_EQ(this->server.load("").rate->limit.per_second, 12);
+}
+
+TEST_F(own_server_of_a_proxy, takes_a_limit_from_peers_for_its_present_incarnation_only) {
+  this->server.on_heartbeat(heartbeat_of("a", 1));
+  this->server.on_told_limit("former", {12});
+  EXPECT_FALSE(this->server.load("").rate);
+  this->server.on_told_limit(heartbeat_of("a", 1).incarnation(), {12});
+  EXPECT_TRUE(this->server.load("").rate);
+}
+
+TEST_F(own_server_of_a_proxy, forgets_the_limit_of_a_former_incarnation) {
+  this->server.on_heartbeat(heartbeat_of("a", 1));
+  const auto a = heartbeat_of("a", 1).incarnation();
+  this->server.on_named_limit(a, request_rate{12}, EventLoop::now());
+  this->server.on_heartbeat(heartbeat_of("b", 1));
+  EXPECT_FALSE(this->server.load("").rate);
+  this->server.on_named_limit(a, request_rate{12}, EventLoop::now());
+  EXPECT_FALSE(this->server.load("").rate);
+}
+
 }  // namespace
 }  // namespace ramppond
--- a/tests/daemon/proxy/peer_headers_test.cc
+++ b/tests/daemon/proxy/peer_headers_test.cc
@@ -58,5 +58,19 @@
   EXPECT_LE(parseOverload(&many).size(), 32U);
 }
 
+TEST(peer_headers, rate_comes_back_as_it_was_told) {
+  const std::string text = formatRate({{12.3}, 2.5});
+  EXPECT_EQ(text, "12300/2500");
+  const auto parsed = parseRate(&text);
+  ASSERT_TRUE(parsed);
+  EXPECT_DOUBLE_EQ(parsed->limit.per_second, 12.3);
+  EXPECT_DOUBLE_EQ(parsed->demand, 2.5);
+  EXPECT_EQ(formatRate({{1e30}, 0}), "1000000000000000/0");
+  EXPECT_FALSE(parseRate(nullptr));
+  for (const std::string malformed : {"", "12300", "12300/", "/1", "x/1", "1/x", "1/2x"}) {
+    EXPECT_FALSE(parseRate(&malformed)) << malformed;
+  }
+}
+
 }  // namespace
 }  // namespace ramppond
--- a/tests/platform/server_limit_day_test.cc
+++ b/tests/platform/server_limit_day_test.cc
@@ -36,6 +36,21 @@
 
 class ServerLimitDay : public ForwardingDay {
  protected:
+  /// Every proxy knows both servers of the service.
+  void SetUp() override {
+    ForwardingDay::SetUp();
+    for (int machine = 0; machine < Deployment::kServerMachines; ++machine) {
+      for (const std::size_t server : {std::size_t{0}, std::size_t{2}}) {
+        ASSERT_TRUE(day_.runUntil([&] { return reaches(machine, *day_.servers[server]); }));
+      }
+    }
+  }
+  /// Whether a request that begins on the machine ran at the server.
+  bool reaches(int machine, const AppServer& server) {
+    const std::string id = "reach-" + std::to_string(next_++);
+    day_.send(machine, request("/one/x", id));
+    return server.runs.count(id) == 1;
+  }
   /// Requests at all machines in turn, whether or not earlier ones are answered.
   void press(const std::string& target, Duration time) {
     const TimePoint end = EventLoop::now() + time;
