Read a long body to the end that its sender holds back

Cause: the proxy beside the server stops reading a body at 64 KiB, begins, and asks for the end that is held back; the end lies behind the rest of the body, which nobody reads any more. It went well when the rest came in the same read, or when the parser had kept bytes back, which resumes reading by chance. Class of fault: waiting for what one's own pause keeps away. Ruled out: the limit of requests a second (none was named; log of the failure), a silent sender (its end was sent). Change: reading goes on once the end was asked for. Measured: ALongBodyThatComesInPiecesIsReadToTheEndThatIsHeldBack red before (102, then 503 not confirmed), green after, three times, with the test that had failed. Conclusion: the failure seen once is traced.

--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -184,6 +184,7 @@
 void InboundRequest::askConfirmation() {
   state_ = State::kAwaitingEnd;
   exchange_->sendInterim(kProcessing);
+  exchange_->resumeRequestBody();  // The end comes behind the rest of the body.
   const std::weak_ptr<InboundRequest> weak = weak_from_this();
   confirm_timer_.after(confirmation_time, [weak] {
     const auto self = weak.lock();
--- a/tests/daemon/proxy/forwarded_body_wait_test.cc
+++ b/tests/daemon/proxy/forwarded_body_wait_test.cc
@@ -1,6 +1,7 @@
 // Bodies that are too long to be held, of requests that wait for a server of their service.
 #include <gtest/gtest.h>
 
+#include "net/stream/http_head.h"
 #include "tests/platform/forwarding_day.h"
 
 namespace ramppond::stand_in {
@@ -35,5 +36,22 @@
   EXPECT_EQ(result.body.substr(result.body.size() - wanted.body.size()), wanted.body);
 }
 
+// The end of the request comes only after the interim answer, and nothing is under way before.
+TEST_F(ForwardingDay, ALongBodyThatComesInPiecesIsReadToTheEndThatIsHeldBack) {
+  const auto chunk = chunkBytes(std::string(long_body_bytes, 'a'));
+  constexpr auto first_piece = std::size_t(70000);
+  const auto head = std::string(
+      "POST /two/w HTTP/1.1\r\nHost: app.example\r\nRequest-Id: pieces\r\nDeadline-Ms: 4000\r\n"
+      "Ramppond-Instance: i-1\r\nRamppond-Service: two\r\nRamppond-Route: r-two\r\n"
+      "Ramppond-Patience-Ms: 1000\r\nRamppond-Confirm: 99000\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n");
+  const auto answer = this->day_.sendInParts(
+      this->day_.serverHost(1), this->day_.ports.peers,
+      {head + chunk.substr(0, first_piece), chunk.substr(first_piece), std::string(kLastChunk)},
+      "Server-Stamp");
+  EXPECT_NE(answer.find("HTTP/1.1 200"), std::string::npos) << answer.substr(0, 300);
+  EXPECT_EQ(this->runsOf("pieces"), 1);
+}
+
 }  // namespace
 }  // namespace ramppond::stand_in
--- a/tests/platform/stand_in.cc
+++ b/tests/platform/stand_in.cc
@@ -83,6 +83,7 @@
  public:
   RawClient(EventLoop& loop, std::string bytes) : TcpConnection(loop), bytes_(std::move(bytes)) {}
   void open(const Endpoint& endpoint) { connect(endpoint, seconds(2)); }
+  void sendMore(const std::string& bytes) { write(bytes); }
   std::string received;
   bool ended = false;
 
@@ -464,6 +465,23 @@
   return client->received;
 }
 
+std::string Deployment::sendInParts(const std::string& host, std::uint16_t port,
+                                    const std::vector<std::string>& parts,
+                                    const std::string& enough) {
+  const auto client = std::make_shared<RawClient>(loop, parts.front());
+  client->open({host, port});
+  for (std::size_t part = 1; part < parts.size(); ++part) {
+    runFor(milliseconds(50));
+    client->sendMore(parts[part]);
+  }
+  EXPECT_TRUE(runUntil([&] {
+    return client->ended || client->received.find(enough) != std::string::npos;
+  })) << "no "
+      << enough;
+  client->abort(false);
+  return client->received;
+}
+
 std::string Deployment::sendUnfinished(const std::string& host, std::uint16_t port,
                                        const std::string& bytes) {
   const auto client = std::make_shared<RawClient>(loop, bytes);
--- a/tests/platform/stand_in.h
+++ b/tests/platform/stand_in.h
@@ -145,6 +145,10 @@
   /// Sends raw bytes that make up a message, right or wrong; gives what came back once a head had
   /// come or the connection had ended.
   std::string sendRaw(const std::string& host, std::uint16_t port, const std::string& bytes);
+  /// Sends raw bytes in parts, with a pause before each further one; gives what had come once
+  /// `enough` stands in it or the connection had ended.
+  std::string sendInParts(const std::string& host, std::uint16_t port,
+                          const std::vector<std::string>& parts, const std::string& enough);
   /// Sends raw bytes to which more may follow, so that nothing need come back; gives what did.
   std::string sendUnfinished(const std::string& host, std::uint16_t port, const std::string& bytes);
   int readiness(int machine);
