Take a server's word in its answers that it leaves, as from its heartbeat

Callers and servers saw, in the test: a server whose answers say that it leaves got 52 more requests later than the drain timeout, and 18 after a restart of the proxy beside it. Cause: as of the limit, nobody read the field. Ruled out: acting on it at the proxies that pass it on only (those that have not heard go on sending), and beside the server only (a proxy that starts anew takes the server for ready, as its heartbeats say, and those who passed the answer on are bound by it: seen, 9 requests). Change: the answer is one more sign of the state that a draining heartbeat sets (LocalServer), on the same way to the peers; no later heartbeat of that incarnation takes it back. A proxy that passed such an answer on never chooses that incarnation again. An answer of a former incarnation changes nothing. Measured: both tests of ServerLimitDay red without it, green three times with it; core, forwarding, compatibility, common pass.

--- a/core/lifecycle/local_server.cc
+++ b/core/lifecycle/local_server.cc
@@ -47,9 +47,10 @@
 bool LocalServer::takeOver(const ServerHeartbeat& heartbeat, TimePoint now) {
   const bool same = isCurrent(heartbeat.incarnation());
   const bool was_draining = draining_since_.has_value();
-  const bool changed = !same || was_draining != heartbeat.draining ||
-                       current_.slots != heartbeat.slots || current_.service != heartbeat.service;
-  if (!heartbeat.draining) {
+  const bool draining = heartbeat.draining || incarnations_[heartbeat.incarnation()].said_leaving;
+  const bool changed = !same || was_draining != draining || current_.slots != heartbeat.slots ||
+                       current_.service != heartbeat.service;
+  if (!draining) {
     draining_since_.reset();
   } else if (!same || !was_draining) {
     draining_since_ = now;
@@ -90,6 +91,18 @@
   return true;
 }
 
+bool LocalServer::onLeavingAnswer(const std::string& incarnation, TimePoint now) {
+  if (!isCurrent(incarnation)) {
+    return false;
+  }
+  incarnations_[incarnation].said_leaving = true;
+  if (draining_since_) {
+    return false;
+  }
+  draining_since_ = now;
+  return true;
+}
+
 bool LocalServer::onWrongInstance(const std::string& incarnation) {
   if (!isCurrent(incarnation)) {
     return false;
@@ -104,7 +117,8 @@
 
 bool LocalServer::announcedLeave(const std::string& incarnation) const {
   const auto found = incarnations_.find(incarnation);
-  return found != incarnations_.end() && (found->second.left || found->second.draining);
+  return found != incarnations_.end() &&
+         (found->second.left || found->second.draining || found->second.said_leaving);
 }
 
 FenceVerdict LocalServer::admit(const std::string& incarnation, const std::string& service,
--- a/core/lifecycle/local_server.h
+++ b/core/lifecycle/local_server.h
@@ -1,9 +1,10 @@
 // Knows which server runs beside a proxy and decides whether it takes a request (the fence).
 //
-// Input: the server's heartbeats and leaves, refused connections to it, and the incarnation that a
-// request is meant for (times in microseconds). Output: the server's current incarnation and its
-// state, the record that the proxy writes, and for each request admit or the reason why not. Owns
-// the current incarnation and what former ones reported. Pure, not thread safe.
+// Input: the server's heartbeats and leaves, answers that say that it leaves, refused connections,
+// and the incarnation that a request is meant for (times in microseconds). Output: the server's
+// current incarnation and its state, the record that the proxy writes, and for each request admit
+// or the reason why not. Owns the current incarnation and what former ones reported. Pure, not
+// thread safe.
 //
 // Only the proxy beside a server can reach it, so this class is the authority on it: a request
 // meant for another incarnation, or for one that is leaving, is refused as not run, whatever other
@@ -67,6 +68,9 @@
   /// The incarnation has left or is about to end; later heartbeats of it are ignored. A leave
   /// without a start time counts for the current incarnation. Returns whether the record changed.
   bool onLeave(const ServerLeave& leave, TimePoint now);
+  /// An answer of `incarnation` said that it is leaving, which no later heartbeat takes back.
+  /// Returns whether the record changed.
+  bool onLeavingAnswer(const std::string& incarnation, TimePoint now);
   /// The server answered that it is not `incarnation`. Returns whether that was the current one; no
   /// server is known from then on.
   bool onWrongInstance(const std::string& incarnation);
@@ -91,6 +95,7 @@
     std::uint64_t sequence = 0;  ///< Of its last heartbeat.
     bool left = false;
     bool draining = false;
+    bool said_leaving = false;  ///< In an answer.
   };
   [[nodiscard]] bool isCurrent(const std::string& incarnation) const;
   /// Forgets one other incarnation than the current one if too many are held.
@@ -104,7 +109,7 @@
 
   Duration draining_admission_;
   bool known_ = false;
-  std::optional<TimePoint> draining_since_;  ///< Of the current incarnation.
+  std::optional<TimePoint> draining_since_;  ///< Of the current incarnation, by whichever sign.
   ServerHeartbeat current_;
   TimePoint last_heartbeat_{0};                      ///< Of the current incarnation.
   std::map<std::string, Incarnation> incarnations_;  ///< By name, the current one included.
--- a/core/placement/instance_directory.cc
+++ b/core/placement/instance_directory.cc
@@ -114,7 +114,9 @@
                                const std::set<std::string>& excluded, TimePoint now) const {
   const bool open = instance.record.state == InstanceState::kReady ||
                     instance.record.state == InstanceState::kStopping;
-  return open && instance.fenced_until <= now && instance.record.service == service &&
+  const bool leaving = !instance.leaving_incarnation.empty() &&
+                       instance.leaving_incarnation == instance.record.server_incarnation;
+  return open && !leaving && instance.fenced_until <= now && instance.record.service == service &&
          excluded.count(instance.record.proxy_address) == 0;
 }
 
@@ -325,6 +327,13 @@
   return changes;
 }
 
+void InstanceDirectory::onLeaving(KnownInstance& instance, const std::string& incarnation) {
+  const bool of_present = incarnation == instance.record.server_incarnation;
+  if (of_present || instance.leaving_incarnation != instance.record.server_incarnation) {
+    instance.leaving_incarnation = incarnation;
+  }
+}
+
 void InstanceDirectory::onFenced(KnownInstance& instance, TimePoint now) {
   instance.fenced_until = now + kFenceRemembered;
 }
--- a/core/placement/instance_directory.h
+++ b/core/placement/instance_directory.h
@@ -64,6 +64,9 @@
   /// it then.
   std::optional<NamedRate> named_rate;
 
+  /// Incarnation of which an answer said that it is leaving, whatever its record says.
+  std::string leaving_incarnation;
+
   /// The rate that the server of the record names.
   [[nodiscard]] std::optional<rate_load> rate() const;
 };
@@ -112,6 +115,9 @@
   LivenessChanges checkLiveness(TimePoint now);
   /// Number of proxies that checkLiveness() looks at.
   [[nodiscard]] std::size_t watched() const { return watched_.size(); }
+  /// An answer of `incarnation` there said that it is leaving; it gets nothing more from here, also
+  /// when its proxy has started anew and takes it for ready.
+  static void onLeaving(KnownInstance& instance, const std::string& incarnation);
   /// Its proxy answered that the server takes no requests any more. It is passed over until a newer
   /// record comes or a second has passed, since the answer may be older than the record held.
   void onFenced(KnownInstance& instance, TimePoint now);
--- a/daemon/proxy/forwarded_answer.cc
+++ b/daemon/proxy/forwarded_answer.cc
@@ -83,6 +83,8 @@
   auto own = read_peer_answer(head);
   if (own) {
     notePeerAnswer(*own);
+  } else if (context_.api.parseLeaving(head.all(context_.api.headers().server_leaving))) {
+    context_.directory.onLeaving(attempt_->instance, attempt_->incarnation);
   }
   if (attempt_->is_held_back()) {
     attempt_->upstream->finishBody();  // Refused: the connection can be used again.
--- a/daemon/proxy/inbound_answer.cc
+++ b/daemon/proxy/inbound_answer.cc
@@ -134,6 +134,15 @@
   }
 }
 
+void InboundRequest::noteServer(const HttpHead& head) {
+  const ExternalHeaders& names = context_.api.headers();
+  context_.own.on_named_limit(incarnation_, context_.api.parseLimit(head.all(names.server_limit)),
+                              begun_);
+  if (context_.api.parseLeaving(head.all(names.server_leaving))) {
+    context_.own.on_leaving_answer(incarnation_);
+  }
+}
+
 void InboundRequest::onResponseHead(HttpHead head) {
   if (state_ != State::kRunning) {
     return;
@@ -141,8 +150,7 @@
   const ExternalHeaders& names = context_.api.headers();
   const bool not_run = head.find(names.not_run) != nullptr || head.status == kMisdirected;
   if (head.status != kMisdirected) {  // Such an answer is another instance's.
-    context_.own.on_named_limit(incarnation_, context_.api.parseLimit(head.all(names.server_limit)),
-                                begun_);
+    noteServer(head);
   }
   head.removeHopByHop();
   removePeerHeaders(head);
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -79,6 +79,8 @@
   void logRefusal(const std::string& outcome, const std::string& reason, TimePoint now);
   void count(refusal_counter counter);
   void finishServerWork(ServerOutcome outcome);
+  /// Takes what the head of the server's answer says of the server itself.
+  void noteServer(const HttpHead& head);
   /// Adds the load of the own server, and overload further down, for the sending proxy.
   void addLoad(HttpHead& head);
   [[nodiscard]] answer_progress answerProgress() const;
--- a/daemon/proxy/own_server.cc
+++ b/daemon/proxy/own_server.cc
@@ -32,6 +32,14 @@
   }
 }
 
+void own_server::on_leaving_answer(const std::string& incarnation) {
+  const auto now = EventLoop::now();
+  if (this->server.onLeavingAnswer(incarnation, now)) {
+    logEvent(now.count(), "server", {{"instance", incarnation}, {"state", "draining"}});
+    this->report_change();
+  }
+}
+
 void own_server::on_named_limit(const std::string& incarnation, const named_limit& answered,
                                 TimePoint begun) {
   if (incarnation != this->judged_incarnation) {
--- a/daemon/proxy/own_server.h
+++ b/daemon/proxy/own_server.h
@@ -47,6 +47,8 @@
   void on_leave(const ServerLeave& leave);
   /// An answer of `incarnation` to a request that was dispatched at `begun` names this limit.
   void on_named_limit(const std::string& incarnation, const named_limit& named, TimePoint begun);
+  /// An answer of `incarnation` says that it is leaving.
+  void on_leaving_answer(const std::string& incarnation);
   /// A peer was told this limit by an answer of `incarnation`.
   void on_told_limit(const std::string& incarnation, request_rate told);
   /// The server said that it is another one than `incarnation`.
--- a/tests/core/lifecycle/local_server_test.cc
+++ b/tests/core/lifecycle/local_server_test.cc
@@ -149,5 +149,28 @@
   EXPECT_TRUE(server.onHeartbeat(bornAt(7000, "a", 3), seconds(12)));
 }
 
+TEST(LocalServer, AnAnswerThatSaysItLeavesIsTheSameAsADrainingHeartbeat) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(heartbeat("a", 1), TimePoint(0));
+  EXPECT_FALSE(server.onLeavingAnswer("former", seconds(1)));
+  EXPECT_EQ(server.record().state, InstanceState::kReady);
+  EXPECT_TRUE(server.onLeavingAnswer("a", seconds(1)));
+  EXPECT_FALSE(server.onLeavingAnswer("a", seconds(2)));
+  EXPECT_EQ(server.record().state, InstanceState::kDraining);
+  EXPECT_EQ(server.admit("a", "desk", seconds(1) + kDrainingAdmission), FenceVerdict::kAdmit);
+  EXPECT_EQ(server.admit("a", "desk", seconds(2)), FenceVerdict::kDraining);
+  EXPECT_TRUE(server.announcedLeave("a"));
+}
+
+TEST(LocalServer, AReadyHeartbeatDoesNotTakeBackWhatAnAnswerSaid) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(heartbeat("a", 1), TimePoint(0));
+  server.onLeavingAnswer("a", seconds(1));
+  EXPECT_FALSE(server.onHeartbeat(heartbeat("a", 2), seconds(3)));
+  EXPECT_EQ(server.admit("a", "desk", seconds(3)), FenceVerdict::kDraining);
+  EXPECT_TRUE(server.onHeartbeat(heartbeat("b", 1), seconds(4)));
+  EXPECT_EQ(server.admit("b", "desk", seconds(4)), FenceVerdict::kAdmit);
+}
+
 }  // namespace
 }  // namespace ramppond
--- a/tests/core/placement/instance_directory_test.cc
+++ b/tests/core/placement/instance_directory_test.cc
@@ -266,5 +266,23 @@
   EXPECT_FALSE(find("near").rate());
 }
 
+TEST_F(InstanceDirectoryTest, AServerThatSaidItLeavesGetsNothingWhateverItsRecordSays) {
+  InstanceRecord changed = record("near", "zone-a");
+  directory_.offer(changed);
+  KnownInstance& near = find("near");
+  InstanceDirectory::onLeaving(near, "i-former");
+  EXPECT_EQ(choose(), "near");
+  InstanceDirectory::onLeaving(near, "i-near");
+  EXPECT_EQ(choose(), "");
+  InstanceDirectory::onLeaving(near, "i-former");  // A late answer.
+  changed.proxy_incarnation = 2;
+  directory_.offer(changed);
+  EXPECT_EQ(choose(), "");
+  changed.revision = 2;
+  changed.server_incarnation = "i-next";
+  directory_.offer(changed);
+  EXPECT_EQ(choose(), "near");
+}
+
 }  // namespace
 }  // namespace ramppond
--- a/tests/platform/server_limit_day_test.cc
+++ b/tests/platform/server_limit_day_test.cc
@@ -1,7 +1,8 @@
-// Servers that name in their answers how many requests a second they take, with real processes.
+// Servers that say in their answers how much they take, or that they leave, with real processes.
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 #include "tests/platform/forwarding_day.h"
 
@@ -12,6 +13,7 @@
 constexpr Duration kWindow = 4 * kSecond;
 constexpr double kAllowedFactor = 1.5;
 constexpr double kAllowedBeside = 5;
+constexpr Duration kDrainTimeout = seconds(2);
 constexpr Duration kBetweenRequests = milliseconds(5);
 
 /// The most arrivals in any span of kWindow that begins at `from` or later.
@@ -93,5 +95,43 @@
   EXPECT_EQ(statuses_[200], sent_);
 }
 
+TEST_F(ServerLimitDay, AServerThatSaysInItsAnswersThatItIsLeavingGetsNothingNew) {
+  AppServer& leaving = *day_.servers[0];
+  leaving.says_leaving = true;
+  press("/one/x", milliseconds(500));
+  day_.runFor(kDrainTimeout);
+  const std::size_t before = leaving.arrivals.size();
+  press("/one/x", milliseconds(500));
+  EXPECT_EQ(leaving.arrivals.size(), before);
+}
+
+// The proxy that starts anew beside the server takes it for ready, as its heartbeats say.
+TEST_F(ServerLimitDay, AMachineThatPassedOnThatAServerLeavesSendsItNothingWhateverItsProxySays) {
+  AppServer& leaving = *day_.servers[0];
+  leaving.says_leaving = true;
+  std::set<int> told;
+  for (int number = 0; number < 60; ++number) {
+    const int machine = 1 + number % 3;
+    const std::string id = "told-" + std::to_string(number);
+    if (day_.send(machine, request("/one/x", id)).says_leaving) {
+      told.insert(machine);
+    }
+  }
+  ASSERT_FALSE(told.empty());
+  day_.runFor(kDrainTimeout);
+  const std::size_t before = leaving.arrivals.size();
+  const std::size_t beats = leaving.beats_acknowledged;
+  day_.proxies[0].reset();
+  day_.startProxy(0);
+  ASSERT_TRUE(day_.runUntil([&] { return leaving.beats_acknowledged > beats + 2; }));
+  for (int number = 0; number < 60; ++number) {
+    for (const int machine : told) {
+      const std::string id = "after-" + std::to_string(machine) + "-" + std::to_string(number);
+      EXPECT_EQ(day_.send(machine, request("/one/x", id)).status, 200) << id;
+    }
+  }
+  EXPECT_EQ(leaving.arrivals.size(), before);
+}
+
 }  // namespace
 }  // namespace ramppond::stand_in
--- a/tests/platform/stand_in.cc
+++ b/tests/platform/stand_in.cc
@@ -37,6 +37,7 @@
     answer_.status = head.status;
     answer_.request_id = head.get("Request-Id");
     answer_.retry_after = head.get("Retry-After");
+    answer_.says_leaving = head.get("Server-Leaving") == "1";
     location = head.get("Location");
   }
   void onResponseBody(std::string_view data) override { answer_.body.append(data); }
@@ -273,6 +274,9 @@
   if (!named_limit.empty()) {
     head.fields.push_back({"Server-Limit", named_limit});
   }
+  if (says_leaving) {
+    head.fields.push_back({"Server-Leaving", "1"});
+  }
   if (!expected_instance.empty() && expected_instance != instance_) {
     head.status = 421;
     exchange->respond(std::move(head), "");
--- a/tests/platform/stand_in.h
+++ b/tests/platform/stand_in.h
@@ -57,6 +57,7 @@
   std::string body;
   std::string request_id;
   std::string retry_after;
+  bool says_leaving = false;  ///< Its server says that it leaves.
 };
 
 struct Request {
@@ -96,6 +97,7 @@
   Duration time_to_restart = milliseconds(300);
   std::size_t crashes = 0;
   std::string named_limit;          ///< Named in each answer; empty for none.
+  bool says_leaving = false;        ///< In each answer; its heartbeats say ready all the same.
   std::vector<TimePoint> arrivals;  ///< When each request came.
 
  private:
