Call port: keep the limit of calls a second that a back end names

Ruled out: a second copy of the mechanism. Change: limit_in_force, rate_bucket and the reading of a decimal limit stand in core/rate_limit, which both paths use (the table of folders has a row more). A back end names Ramppond-Limit in its answers; InboundCalls dispatches within it, in the order of the queue, bounds the queue by it and tells peers a load by it; places of claims that are denied or time out come back. Log lines backend_limit and backend_limit_unreadable, gauge rate_limit. The header's way through the daemon's HTTP client is read only, not played by real processes. Conclusion: both paths keep a named limit beside the server, by the same two classes.

--- a/core/admission/server_admission.h
+++ b/core/admission/server_admission.h
@@ -23,9 +23,9 @@
 #include <vector>
 
 #include "core/admission/overload_controller.h"
-#include "core/admission/rate_bucket.h"
 #include "core/admission/service_times.h"
-#include "core/request_rate.h"
+#include "core/rate_limit/rate_bucket.h"
+#include "core/rate_limit/request_rate.h"
 #include "core/time.h"
 
 namespace ramppond {
--- a/core/call_port/inbound_calls.cc
+++ b/core/call_port/inbound_calls.cc
@@ -9,6 +9,8 @@
 constexpr double kServiceTimeSmoothing = 0.05;
 constexpr double kInitialServiceTimeUs = 20000;
 constexpr std::size_t kMinimumQueueBound = 2;
+constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr double kThousandths = 1000;
 constexpr Duration kExpiryInterval = milliseconds(5);
 constexpr Duration kForgetInterval = seconds(30);
 // A call that has less time left than this share of a usual service time is not started.
@@ -53,6 +55,7 @@
     return;
   }
   cut_.onArrival(request.context.level, now);
+  rate_.on_offer(now);
   Call call;
   call.request = request;
   call.scope = std::make_shared<CallScope>(request.context, now + request.context.time_left);
@@ -72,15 +75,36 @@
   return context.level - std::min(position, preference);
 }
 
+double InboundCalls::serviceTimeUs() const {
+  return service_time_us_ > 0 ? service_time_us_ : kInitialServiceTimeUs;
+}
+
+// By Little's law a rate keeps as many slots busy as calls arrive in one service time.
+double InboundCalls::usableSlots() const {
+  const auto rate = named_.rate();
+  const double slots = limiter_->limit();
+  const double busy = rate ? rate->per_second * serviceTimeUs() / kMicrosecondsPerSecond : slots;
+  return std::max(1.0, std::min(slots, busy));
+}
+
 std::size_t InboundCalls::queueBound() const {
-  const double service_time = service_time_us_ > 0 ? service_time_us_ : kInitialServiceTimeUs;
   const double waiting = static_cast<double>(options_.policy.maximum_queue_wait.count());
-  const double bound = std::ceil(limiter_->limit() * waiting / service_time);
+  const double bound = std::ceil(usableSlots() * waiting / serviceTimeUs());
   return std::max(kMinimumQueueBound, static_cast<std::size_t>(bound));
 }
 
+bool InboundCalls::hasRoom(TimePoint now) const {
+  return in_flight_.size() < limiter_->limit() && rate_.wait_for(1, now) == Duration(0);
+}
+
+void InboundCalls::noteLimit(const BackendAnswer& answer, TimePoint dispatched, TimePoint now) {
+  if (named_.on_answer(answer.limit, dispatched, now)) {
+    rate_.set(named_.rate(), now);
+  }
+}
+
 void InboundCalls::pump(TimePoint now, DaemonActions& actions) {
-  while (in_flight_.size() < limiter_->limit()) {
+  while (hasRoom(now)) {
     const auto next = queue_.popBest();
     if (!next) {
       return;
@@ -99,6 +123,7 @@
 
 void InboundCalls::start(Call& call, TimePoint now, DaemonActions& actions) {
   in_flight_.insert(call.request.id);
+  rate_.take(now);
   cut_.onDispatched();
   if (!needsClaim(call)) {
     dispatch(call, now, actions);
@@ -164,6 +189,7 @@
   }
   counters_.claims_denied += 1;
   in_flight_.erase(id);
+  rate_.give_back(now);
   CallAnswer answer = errorCallAnswer(id, reply.error);
   if (reply.error == ErrorKind::kNone) {
     answer.outcome = Outcome::kRan;
@@ -185,6 +211,7 @@
     draining_ = true;
   }
   Call& call = position->second;
+  noteLimit(backend_answer, call.dispatched, now);
   const Duration own = now - call.dispatched - call.scope->blocked(now);
   limiter_->onSample({now, own, backend_answer.refused});
   CallAnswer answer;
@@ -217,6 +244,9 @@
   if (position == calls_.end() || position->second.state != State::kDispatched) {
     return;
   }
+  if (never_sent) {
+    rate_.give_back(now);
+  }
   const ErrorKind kind = never_sent ? ErrorKind::kBackendUnreachable : ErrorKind::kBackendLost;
   CallAnswer answer = errorCallAnswer(id, kind);
   complete(position->second, answer);
@@ -252,9 +282,8 @@
   answer.receiver_incarnation = options_.incarnation;
   answer.chain_cut = std::min(answer.chain_cut, cut_.cut());
   answer.draining = draining_;
-  const std::size_t held = in_flight_.size() + queue_.size();
-  answer.load_permille =
-      static_cast<std::uint32_t>(held * 1000 / std::max<std::size_t>(1, limiter_->limit()));
+  const auto held = static_cast<double>(in_flight_.size() + queue_.size());
+  answer.load_permille = static_cast<std::uint32_t>(held * kThousandths / usableSlots());
 }
 
 void InboundCalls::refuse(const CallRequest& request, ErrorKind kind, DaemonActions& actions) {
@@ -278,8 +307,7 @@
 // Time in which the queue drains, stretched by the share that is being refused, with jitter so
 // that those who are told do not come back together.
 Duration InboundCalls::retryAfter() {
-  const double service_time = service_time_us_ > 0 ? service_time_us_ : kInitialServiceTimeUs;
-  const double drain = service_time * static_cast<double>(queue_.size()) / limiter_->limit();
+  const double drain = serviceTimeUs() * static_cast<double>(queue_.size()) / usableSlots();
   const double admitted_share = std::max(0.05, 1.0 - cut_.refusedShare());
   const double wanted = (static_cast<double>(kMinimumRetryAfter.count()) + drain) / admitted_share;
   const double jittered = wanted * (0.5 + random_.uniform());
@@ -306,6 +334,7 @@
   }
   if (call.state == State::kClaiming) {
     claimAction(CommandType::kReleaseClaim, call, nullptr);
+    rate_.give_back(now);
   }
   if (call.state == State::kDispatched) {
     actions.emplace_back(CancelBackend{id});
@@ -350,6 +379,7 @@
   for (const CallId& id : claims_due) {
     const auto position = calls_.find(id);
     counters_.claims_timed_out += 1;
+    rate_.give_back(now);
     claimAction(CommandType::kReleaseClaim, position->second, nullptr);
     in_flight_.erase(id);
     CallAnswer answer = errorCallAnswer(id, ErrorKind::kNoQuorum);
--- a/core/call_port/inbound_calls.h
+++ b/core/call_port/inbound_calls.h
@@ -16,6 +16,8 @@
 #include "core/call_port/seen_calls.h"
 #include "core/control/control_state.h"
 #include "core/random.h"
+#include "core/rate_limit/limit_in_force.h"
+#include "core/rate_limit/rate_bucket.h"
 
 namespace ramppond {
 
@@ -34,6 +36,7 @@
   std::string body;
   bool refused = false;   ///< The back end shed the call without running it.
   bool draining = false;  ///< The back end says that it is leaving.
+  named_limit limit;      ///< The calls a second that the back end says it takes.
 };
 
 /// A claim command for the control session to carry.
@@ -88,6 +91,8 @@
   [[nodiscard]] std::size_t inFlight() const { return in_flight_.size(); }
   [[nodiscard]] std::size_t queued() const { return queue_.size(); }
   [[nodiscard]] std::uint32_t concurrencyLimit() const { return limiter_->limit(); }
+  /// The calls a second that the back end names; nothing for no limit.
+  [[nodiscard]] std::optional<request_rate> rateLimit() const { return named_.rate(); }
   [[nodiscard]] Level cut() const { return cut_.cut(); }
 
  private:
@@ -106,6 +111,9 @@
   void refuse(const CallRequest& request, ErrorKind kind, DaemonActions& actions);
   void finish(CallMap::iterator position, CallAnswer answer, DaemonActions& actions);
   void refuseQueued(const CallId& id, ErrorKind kind, DaemonActions& actions);
+  /// Whether the back end takes another call now, by its slots and by the rate that it names.
+  [[nodiscard]] bool hasRoom(TimePoint now) const;
+  void noteLimit(const BackendAnswer& answer, TimePoint dispatched, TimePoint now);
   void pump(TimePoint now, DaemonActions& actions);
   void start(Call& call, TimePoint now, DaemonActions& actions);
   void dispatch(Call& call, TimePoint now, DaemonActions& actions);
@@ -116,11 +124,17 @@
   [[nodiscard]] bool needsClaim(const Call& call) const;
   [[nodiscard]] ClaimCommand claimCommandOf(const Call& call) const;
   [[nodiscard]] std::size_t queueBound() const;
+  /// Smoothed; a first guess before a call has ended.
+  [[nodiscard]] double serviceTimeUs() const;
+  /// Slots that calls can keep busy within the limits of the back end; at least one.
+  [[nodiscard]] double usableSlots() const;
   [[nodiscard]] Duration retryAfter();
   [[nodiscard]] Level queueLevel(const CallContext& context) const;
 
   InboundOptions options_;
   std::unique_ptr<ConcurrencyLimiter> limiter_;
+  limit_in_force named_;  ///< Calls a second, as the back end names it.
+  rate_bucket rate_;
   AdmissionQueue queue_;
   AdmissionCut cut_;
   SeenCalls seen_;
--- a/core/external/external_api.h
+++ b/core/external/external_api.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "core/lifecycle/local_server.h"
-#include "core/request_rate.h"
+#include "core/rate_limit/request_rate.h"
 #include "core/retries/retry_budget.h"
 #include "core/tenants/credential.h"
 #include "core/tenants/quota_bounds.h"
--- a/core/placement/instance_directory.h
+++ b/core/placement/instance_directory.h
@@ -23,7 +23,7 @@
 #include "core/distribution/instance_registry.h"
 #include "core/placement/peer_liveness.h"
 #include "core/random.h"
-#include "core/request_rate.h"
+#include "core/rate_limit/request_rate.h"
 #include "core/time.h"
 
 namespace ramppond {
--- a/core/admission/limit_in_force.cc
+++ b/core/rate_limit/limit_in_force.cc
@@ -1,4 +1,4 @@
-#include "core/admission/limit_in_force.h"
+#include "core/rate_limit/limit_in_force.h"
 
 #include "core/overloaded.h"
 
--- a/core/admission/limit_in_force.h
+++ b/core/rate_limit/limit_in_force.h
@@ -13,7 +13,7 @@
 
 #include <optional>
 
-#include "core/request_rate.h"
+#include "core/rate_limit/request_rate.h"
 #include "core/time.h"
 
 namespace ramppond {
--- a/core/admission/rate_bucket.cc
+++ b/core/rate_limit/rate_bucket.cc
@@ -1,4 +1,4 @@
-#include "core/admission/rate_bucket.h"
+#include "core/rate_limit/rate_bucket.h"
 
 #include <algorithm>
 #include <cmath>
--- a/core/admission/rate_bucket.h
+++ b/core/rate_limit/rate_bucket.h
@@ -12,7 +12,7 @@
 #include <cstddef>
 #include <optional>
 
-#include "core/request_rate.h"
+#include "core/rate_limit/request_rate.h"
 #include "core/time.h"
 
 namespace ramppond {
--- a/core/request_rate.h
+++ b/core/rate_limit/request_rate.h
@@ -4,12 +4,16 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace ramppond {
 
 struct request_rate {
   double per_second = 0;
 };
+inline auto operator==(const request_rate& left, const request_rate& right) -> bool {
+  return left.per_second == right.per_second;
+}
 
 /// Requests a second with three decimals; empty for none. For logs.
 auto text_of(const std::optional<request_rate>& rate) -> std::string;
@@ -31,4 +35,8 @@
 /// The limit that one answer of a server names: requests that it takes from all callers together.
 using named_limit = std::variant<no_limit, request_rate, unreadable_limit>;
 
+/// From the values of all fields of one answer that are named `field`. One decimal number of 0 or
+/// more is a limit; digits and at most one point, nothing else.
+auto parse_limit(const std::string& field, const std::vector<std::string>& values) -> named_limit;
+
 }  // namespace ramppond
--- a/daemon/daemon_metrics.cc
+++ b/daemon/daemon_metrics.cc
@@ -43,6 +43,8 @@
   page.gauge("in_flight", "Calls at the back end.", static_cast<double>(core.inbound().inFlight()));
   page.gauge("queued", "Calls waiting for a slot.", static_cast<double>(core.inbound().queued()));
   page.gauge("concurrency_limit", "Slots used at the most.", core.inbound().concurrencyLimit());
+  page.gauge("rate_limit", "Calls a second that the back end names; 0 for none.",
+             core.inbound().rateLimit().value_or(request_rate{}).per_second);
   page.gauge("admission_cut", "Levels above this are refused.", core.inbound().cut());
   page.gauge("draining", "1 while no new work is taken.", core.inbound().draining() ? 1 : 0);
   page.gauge("configuration_index", "Log index of the version in force.",
--- a/daemon/daemon_process.cc
+++ b/daemon/daemon_process.cc
@@ -107,6 +107,7 @@
   void perform(AnswerRequest& action);
   void perform(SendToControl& action);
   void perform(SaveConfiguration& action);
+  named_limit limitOf(const HttpClientResult& result);
   void onBackendResult(const CallId& id, const HttpClientResult& result);
   void onPeerResult(const CallId& id, const HttpClientResult& result);
   void loadSavedConfiguration();
@@ -121,6 +122,7 @@
   std::unordered_map<CallId, HttpToken, CallIdHash> peer_tokens_;
   std::unordered_map<HttpToken, CallId> peer_calls_;
   std::unordered_map<CallId, std::uint64_t, CallIdHash> backend_requests_;
+  std::string unreadable_limit_;  ///< Why the limit of the last answer could not be read.
   std::unordered_map<CallId, std::uint64_t, CallIdHash> peer_requests_;
   std::mutex gone_mutex_;
   std::vector<Gone> gone_;
@@ -333,6 +335,19 @@
                     [this, id](const HttpClientResult& result) { onBackendResult(id, result); });
 }
 
+named_limit DaemonProcess::Impl::limitOf(const HttpClientResult& result) {
+  const std::string value = result.header(headers::kLimit);
+  const std::vector<std::string> values(value.empty() ? 0 : 1, value);
+  const named_limit named = parse_limit(headers::kLimit, values);
+  const auto* unreadable = std::get_if<unreadable_limit>(&named);
+  const std::string reason = unreadable == nullptr ? std::string() : unreadable->reason;
+  if (!reason.empty() && reason != unreadable_limit_) {
+    logChange("backend_limit_unreadable", {{"reason", reason}});
+  }
+  unreadable_limit_ = reason;
+  return named;
+}
+
 void DaemonProcess::Impl::onBackendResult(const CallId& id, const HttpClientResult& result) {
   withCore([&](DaemonActions& actions, TimePoint now) {
     backend_requests_.erase(id);
@@ -345,10 +360,16 @@
     answer.content_type = result.header("Content-Type");
     answer.body = result.body;
     answer.draining = !result.header(headers::kDraining).empty();
+    answer.limit = limitOf(result);
     // A back end that sheds says so with this status and names the outcome.
     answer.refused = result.status == kBackendShedStatus &&
                      result.header(headers::kOutcome) == outcomeName(Outcome::kNotRun);
+    const std::optional<request_rate> before = core_.inbound().rateLimit();
     core_.onBackendAnswer(id, answer, now, actions);
+    const std::optional<request_rate> limit = core_.inbound().rateLimit();
+    if (!(limit == before)) {
+      logChange("backend_limit", {{"before", text_of(before)}, {"now", text_of(limit)}});
+    }
   });
 }
 
--- a/daemon/proxy/own_server.h
+++ b/daemon/proxy/own_server.h
@@ -12,11 +12,11 @@
 
 #include "common/event_log.h"
 #include "core/admission/circuit_breaker.h"
-#include "core/admission/limit_in_force.h"
 #include "core/admission/server_admission.h"
 #include "core/admission/service_times.h"
 #include "core/lifecycle/local_server.h"
 #include "core/placement/instance_directory.h"
+#include "core/rate_limit/limit_in_force.h"
 #include "core/traffic/traffic_configuration.h"
 #include "net/stream/event_loop.h"
 #include "net/stream/http_client.h"
--- a/net/call_protocol.h
+++ b/net/call_protocol.h
@@ -19,6 +19,7 @@
 constexpr char kRequest[] = "Ramppond-Request";        ///< Id of the front request.
 constexpr char kRetryAfter[] = "Retry-After";          ///< RFC 9110, 10.2.3; seconds.
 constexpr char kRetryAfterMs[] = "Ramppond-Retry-After-Ms";
+constexpr char kLimit[] = "Ramppond-Limit";  ///< From a back end: calls a second that it takes.
 constexpr char kDraining[] = "Ramppond-Draining";  ///< From a back end: it is leaving.
 }  // namespace headers
 
--- a/tests/core/admission/server_limit_fleet_test.cc
+++ b/tests/core/admission/server_limit_fleet_test.cc
@@ -15,10 +15,10 @@
 #include <tuple>
 #include <vector>
 
-#include "core/admission/limit_in_force.h"
 #include "core/admission/server_admission.h"
 #include "core/placement/instance_directory.h"
 #include "core/random.h"
+#include "core/rate_limit/limit_in_force.h"
 
 namespace ramppond {
 namespace {
--- a/tests/core/call_port/inbound_calls_test.cc
+++ b/tests/core/call_port/inbound_calls_test.cc
@@ -228,5 +228,51 @@
   EXPECT_EQ(calls_.scopeOfHandle(handle), nullptr);
 }
 
+class LimitedInboundCallsTest : public InboundCallsTest {
+ protected:
+  LimitedInboundCallsTest() {
+    InboundOptions many = options();
+    many.slots = 100;
+    calls_ = InboundCalls(many);
+  }
+  /// A call each millisecond for `time`; each runs for a millisecond and its answer names `limit`.
+  std::size_t dispatchedIn(Duration time, const named_limit& limit) {
+    const std::size_t before = dispatched_;
+    for (const TimePoint end = now_ + time; now_ < end; now_ += milliseconds(1)) {
+      DaemonActions actions;
+      calls_.onRequest(call(++sequence_), now_, actions);
+      calls_.tick(now_, actions);
+      const auto begun = actionsOf<DispatchToBackend>(actions);
+      dispatched_ += begun.size();
+      for (const DispatchToBackend& dispatch : begun) {
+        answer(dispatch.id, limit);
+      }
+    }
+    return dispatched_ - before;
+  }
+  void answer(const CallId& id, const named_limit& limit) {
+    BackendAnswer answer;
+    answer.status = 200;
+    answer.limit = limit;
+    DaemonActions actions;
+    calls_.onBackendAnswer(id, answer, now_, actions);
+    dispatched_ += actionsOf<DispatchToBackend>(actions).size();
+  }
+  std::uint64_t sequence_ = 0;
+};
+
+TEST_F(LimitedInboundCallsTest, ABackEndThatNamesALimitGetsNoMoreCalls) {
+  dispatchedIn(milliseconds(100), request_rate{20});
+  const std::size_t limited = dispatchedIn(seconds(4), request_rate{20});
+  EXPECT_LE(limited, 1.5 * 20 * 4 + 5);
+  EXPECT_GE(limited, 0.9 * 20 * 4);
+}
+
+TEST_F(LimitedInboundCallsTest, TheLimitEndsWithAnswersThatNameNone) {
+  dispatchedIn(seconds(2), request_rate{20});
+  dispatchedIn(seconds(2), no_limit{});
+  EXPECT_GE(dispatchedIn(seconds(1), no_limit{}), 900U);
+}
+
 }  // namespace
 }  // namespace ramppond
