--- a/daemon/daemon_process.cc
+++ b/daemon/daemon_process.cc
@@ -338,7 +338,7 @@
 named_limit DaemonProcess::Impl::limitOf(const HttpClientResult& result) {
   const std::string value = result.header(headers::kLimit);
   const std::vector<std::string> values(value.empty() ? 0 : 1, value);
-  const named_limit named = parse_limit(headers::kLimit, values);
+  named_limit named = parse_limit(headers::kLimit, values);
   const auto* unreadable = std::get_if<unreadable_limit>(&named);
   const std::string reason = unreadable == nullptr ? std::string() : unreadable->reason;
   if (!reason.empty() && reason != unreadable_limit_) {
