Configuration: route kind upload, and refusals that name entry, field and expected value

Cause: an unknown route kind made the whole configuration invalid, so a deployment with upload routes had none, and the operator was told only {"error":"invalid"}. Change: RequestKind::kUpload, which runs at most once. The answer to an invalid configuration carries the reason, which is also logged when the refusal comes from the replicated state.

--- a/common/event_log.cc
+++ b/common/event_log.cc
@@ -3,28 +3,11 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include "common/json_string.h"
+
 namespace ramppond {
 namespace {
 
-void appendQuoted(std::string& line, std::string_view text) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  line += '"';
-  for (const char letter : text) {
-    const auto code = static_cast<unsigned char>(letter);
-    if (letter == '"' || letter == '\\') {
-      line += '\\';
-      line += letter;
-    } else if (code < 0x20) {
-      line += "\\u00";
-      line += kDigits[code >> 4U];
-      line += kDigits[code & 0xFU];
-    } else {
-      line += letter;
-    }
-  }
-  line += '"';
-}
-
 bool writable() {
   pollfd descriptor = {STDOUT_FILENO, POLLOUT, 0};
   return ::poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
@@ -33,13 +16,9 @@
 }  // namespace
 
 void logEvent(std::int64_t time_us, std::string_view event, const std::vector<EventField>& fields) {
-  std::string line = "{\"t_us\":" + std::to_string(time_us) + ",\"event\":";
-  appendQuoted(line, event);
+  std::string line = "{\"t_us\":" + std::to_string(time_us) + ",\"event\":" + toJsonString(event);
   for (const EventField& field : fields) {
-    line += ',';
-    appendQuoted(line, field.key);
-    line += ':';
-    appendQuoted(line, field.value);
+    line += ',' + toJsonString(field.key) + ':' + toJsonString(field.value);
   }
   line += "}\n";
   // A line of at most PIPE_BUF bytes is written whole or not at all.
--- a/control/coordinator/coordinator_operator.cc
+++ b/control/coordinator/coordinator_operator.cc
@@ -1,5 +1,6 @@
 // Operator API of CoordinatorProcess: puts and reads of the configuration over HTTP.
 #include "common/event_log.h"
+#include "common/json_string.h"
 #include "control/coordinator/coordinator_process.h"
 #include "core/cbor_codec.h"
 #include "net/stream/http_status.h"
@@ -19,6 +20,15 @@
   exchange->respond(std::move(head), body);
 }
 
+// Logs why a configuration is invalid, and tells the operator.
+void refuseConfiguration(const std::shared_ptr<ServerExchange>& exchange,
+                         const std::string& reason) {
+  logEvent(EventLoop::now().count(), "configuration_refused", {{"reason", reason}});
+  std::string body = "{\"error\":\"invalid\"}";
+  body.insert(body.size() - 1, ",\"reason\":" + toJsonString(reason));
+  respondToOperator(exchange, kBadRequest, body);
+}
+
 }  // namespace
 
 void CoordinatorProcess::serveOperator(const std::shared_ptr<ServerExchange>& exchange) {
@@ -68,8 +78,7 @@
     replacement.error = validateTraffic(replacement.value->configuration).value_or("");
   }
   if (!replacement.value || !replacement.error.empty()) {
-    logEvent(EventLoop::now().count(), "configuration_refused", {{"reason", replacement.error}});
-    respondToOperator(exchange, kBadRequest, "{\"error\":\"invalid\"}");
+    refuseConfiguration(exchange, replacement.error);
     return;
   }
   const ControlToken token = next_operator_token_++;
@@ -101,7 +110,7 @@
                         "{\"error\":\"another version is in force\"}");
       return;
     default:
-      respondToOperator(exchange, kBadRequest, "{\"error\":\"invalid\"}");
+      refuseConfiguration(exchange, reply.result.reason);
       return;
   }
   const bool read = equalNames(exchange->request().method, "GET");
--- a/core/traffic/traffic_configuration.h
+++ b/core/traffic/traffic_configuration.h
@@ -23,11 +23,12 @@
   kSafe = 0,      ///< May run more than once.
   kUnsafe = 1,    ///< Runs at most once.
   kDownload = 2,  ///< Has large answers; may run more than once.
+  kUpload = 3,    ///< Has large request bodies; runs at most once.
 };
 
 /// Whether requests of this kind may run more than once.
 inline bool isRetryable(RequestKind kind) {
-  return kind != RequestKind::kUnsafe;
+  return kind != RequestKind::kUnsafe && kind != RequestKind::kUpload;
 }
 
 /// A service in a route's split, with its weight in millionths (fixed-point).
--- a/tests/platform/platform_api_test.cc
+++ b/tests/platform/platform_api_test.cc
@@ -46,6 +46,19 @@
   EXPECT_EQ(validateTraffic(configuration), std::nullopt);
 }
 
+// A route kind that is not known makes the whole configuration invalid.
+TEST(PlatformApi, ParsesUploadRouteAsNotRetryable) {
+  const auto parsed = PlatformApi().parseReplacement("", R"({"version":"7","resources":[
+          {"type":"routes","meta":{"name":"r"},"spec":{"host":"a","path_prefix":"/",
+           "kind":"upload","timeout_s":1,"service":"s"}},
+          {"type":"services","meta":{"name":"s"},"spec":{}}]})");
+  ASSERT_TRUE(parsed.value) << parsed.error;
+  const TrafficRoute& route = parsed.value->configuration.routes.front();
+  EXPECT_EQ(route.kind, RequestKind::kUpload);
+  EXPECT_FALSE(isRetryable(route.kind));
+  EXPECT_EQ(validateTraffic(parsed.value->configuration), std::nullopt);
+}
+
 TEST(PlatformApi, ReportsErrorOfMalformedDocument) {
   const PlatformApi api;
   const auto error = [&](const std::string& body) { return api.parseReplacement("", body).error; };
@@ -57,7 +70,7 @@
   EXPECT_NE(error(R"({"version":"7","resources":{}})"), "");
   EXPECT_EQ(error(R"({"version":"7","resources":[{"type":"routes","meta":{"name":"r"},"spec":{
       "host":"a","path_prefix":"/","kind":"odd","timeout_s":1,"service":"s"}}]})"),
-            "route 'r': kind: expected safe, unsafe or download");
+            "route 'r': kind: expected safe, unsafe, download or upload");
   EXPECT_EQ(error(R"({"version":"7","resources":[{"type":"routes","meta":{"name":"r"},"spec":{
       "host":"a","path_prefix":"/","kind":"safe","timeout_s":"1","service":"s"}}]})"),
             "route 'r': timeout_s: expected a number");
