--- a/core/admission/server_admission.h
+++ b/core/admission/server_admission.h
@@ -26,6 +26,7 @@
 #include "core/admission/service_times.h"
 #include "core/rate_limit/rate_bucket.h"
 #include "core/rate_limit/request_rate.h"
+#include "core/request_root.h"
 #include "core/time.h"
 
 namespace ramppond {
@@ -64,6 +65,8 @@
   bool is_call = false;        ///< Sent by a server, or of unknown origin.
   /// The server's service time for the route of the request; unknown counts as 0.
   std::optional<Duration> service_time = std::nullopt;
+  /// Root of its call tree, if its sender told it.
+  std::optional<request_root> root = std::nullopt;
 };
 
 class ServerAdmission {
--- a/core/consensus/snapshot_policy.h
+++ b/core/consensus/snapshot_policy.h
@@ -9,12 +9,9 @@
 
 #include <cstdint>
 
-namespace ramppond {
+#include "core/byte_count.h"
 
-/// A size in bytes.
-struct byte_count {
-  std::uint64_t value = 0;
-};
+namespace ramppond {
 
 struct snapshot_limits {
   /// Maximum number of entries applied since the last snapshot.
--- a/core/retries/call_attribution.cc
+++ b/core/retries/call_attribution.cc
@@ -1,6 +1,7 @@
 #include "core/retries/call_attribution.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ramppond {
 namespace {
@@ -55,9 +56,9 @@
 
 }  // namespace
 
-void call_attribution::on_begun(run_id id, const std::string& route, TimePoint deadline,
-                                bool retry) {
-  this->runs[id] = {route, deadline, retry, 0};
+void call_attribution::on_begun(run_id id, const std::string& route, TimePoint deadline, bool retry,
+                                std::optional<request_root> root) {
+  this->runs[id] = {route, deadline, retry, 0, std::move(root)};
 }
 
 void call_attribution::on_ended(run_id id, bool whole) {
@@ -85,6 +86,7 @@
 void call_attribution::attribute_to_run(TimePoint deadline, attributed_request& request) {
   run* only = nullptr;
   auto matching = std::size_t(0);
+  auto all_roots_known = true;
   for (auto& [id, r] : this->runs) {
     if (!is_equal(r.deadline, deadline)) {
       continue;
@@ -92,6 +94,13 @@
     only = &r;
     ++matching;
     request.of_retry = request.of_retry || r.retry;
+    all_roots_known = all_roots_known && r.root;
+    if (r.root) {
+      request.root = request.root ? merge_roots(*request.root, *r.root) : *r.root;
+    }
+  }
+  if (!all_roots_known) {
+    request.root.reset();
   }
   if (matching != 1) {
     return;
--- a/core/retries/call_attribution.h
+++ b/core/retries/call_attribution.h
@@ -20,6 +20,7 @@
 #include <string>
 #include <vector>
 
+#include "core/request_root.h"
 #include "core/time.h"
 
 namespace ramppond {
@@ -36,6 +37,8 @@
   std::optional<std::uint32_t> remaining_calls = std::nullopt;
   /// Whether some run that may have made it is a retry.
   bool of_retry = false;
+  /// Root of the run that made it, merged over all runs that may have; see merge_roots().
+  std::optional<request_root> root = std::nullopt;
 };
 
 class call_attribution {
@@ -44,8 +47,10 @@
   using run_id = std::uint64_t;
 
   /// Records that a request of `route` with this deadline was dispatched to the server. `retry`:
-  /// some server may have run it before, or it is a call of a retry.
-  void on_begun(run_id id, const std::string& route, TimePoint deadline, bool retry = false);
+  /// some server may have run it before, or it is a call of a retry. `root`: of its call tree, if
+  /// known.
+  void on_begun(run_id id, const std::string& route, TimePoint deadline, bool retry = false,
+                std::optional<request_root> root = std::nullopt);
   /// Records that the run ended; `whole` if the server completed it.
   void on_ended(run_id id, bool whole = false);
 
@@ -64,6 +69,7 @@
     TimePoint deadline;
     bool retry = false;
     std::uint32_t calls = 0;  // attributed to this run alone
+    std::optional<request_root> root;
   };
   struct callee {
     double client_share = 0;  // smoothed share of its requests that come from clients, 0 to 1
--- a/daemon/proxy/forwarded_attempt.cc
+++ b/daemon/proxy/forwarded_attempt.cc
@@ -65,6 +65,9 @@
   if (const auto rate = parts.instance.rate()) {
     add_field(head, kPeerToldRate, formatRate(*rate));
   }
+  if (params.root) {
+    add_field(head, kPeerRoot, formatRoot(*params.root));
+  }
   add_flag(head, kPeerCall, params.is_call);
   add_flag(head, kPeerRetryable, params.may_run_twice());
   add_flag(head, kPeerSuspect, parts.history.lost_runs > 0);
--- a/daemon/proxy/forwarded_params.cc
+++ b/daemon/proxy/forwarded_params.cc
@@ -89,10 +89,24 @@
   return answer_beyond_tenant_limit(verdict.retry_after);
 }
 
+// A call whose run is unknown keeps no root: its caller is then the service that sent it.
+void forwarded_params::resolve_root() {
+  if (this->is_call) {
+    this->root = this->attributed.root;
+    return;
+  }
+  const auto tenant_name = this->tenant == nullptr ? std::string() : this->tenant->name;
+  this->root =
+      request_root{this->rank, this->may_run_twice(), caller_name(tenant_name, this->route->name)};
+}
+
 auto forwarded_params::shed(ProxyContext& context, Duration requested_time)
     -> std::optional<own_answer> {
   this->attributed = context.calls.on_request(this->route->name, this->received + requested_time);
   this->is_call = is_call_of_server(this->attributed.origin, this->tenant != nullptr);
+  if (context.features.needs_roots()) {
+    this->resolve_root();
+  }
   if (this->is_call) {
     return std::nullopt;
   }
--- a/daemon/proxy/forwarded_params.h
+++ b/daemon/proxy/forwarded_params.h
@@ -27,6 +27,7 @@
   TimePoint deadline{0};
   bool is_call = false;  // a call of the local server, or possibly one
   attributed_request attributed;
+  std::optional<request_root> root;  // of its call tree; absent if unknown or not in use
 
   /// Resolves the remaining members for a request received at `received`, and removes its
   /// credential from `head`. Returns the answer if the request is refused; the members resolved
@@ -42,6 +43,7 @@
       -> std::optional<own_answer>;
   auto resolve_tenant(ProxyContext& context, HttpHead& head) -> std::optional<own_answer>;
   auto check_quota(ProxyContext& context) -> std::optional<own_answer>;
+  void resolve_root();
   auto shed(ProxyContext& context, Duration requested_time) -> std::optional<own_answer>;
 };
 
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -57,6 +57,7 @@
   admission_.priority = static_cast<std::uint32_t>(std::strtoul(priority.c_str(), nullptr, 10));
   admission_.patience = parseMilliseconds(head.find(kPeerPatienceMs)).value_or(Duration(0));
   admission_.is_call = head.find(kPeerCall) != nullptr;
+  admission_.root = parseRoot(head.find(kPeerRoot));
   admission_.reference_wait = reference_wait(admission_.patience, admission_.is_call);
   head.removeHopByHop();
   retryable_ = head.find(kPeerRetryable) != nullptr;
@@ -218,7 +219,7 @@
 void InboundRequest::dispatch() {
   const Duration left = deadline_ - EventLoop::now();
   state_ = State::kRunning;
-  context_.calls.on_begun(admission_.id, route_, deadline_, is_retry_);
+  context_.calls.on_begun(admission_.id, route_, deadline_, is_retry_, admission_.root);
   HttpHead& head = exchange_->mutableRequest();
   head.set(context_.api.headers().deadline_ms, formatMilliseconds(left));
   head.set(context_.api.headers().expect_instance, context_.own.reports().heartbeat().instance_id);
--- a/daemon/proxy/peer_headers.cc
+++ b/daemon/proxy/peer_headers.cc
@@ -1,9 +1,13 @@
 #include "daemon/proxy/peer_headers.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <cmath>
 #include <cstdlib>
+#include <limits>
 #include <sstream>
 
 namespace ramppond {
@@ -16,6 +20,9 @@
 constexpr std::size_t kMaxOverloadEntries = 32;
 constexpr double kThousand = 1000;
 constexpr std::uint64_t kMaxPermille = 1000000;
+constexpr std::size_t kMaxCallerBytes = 96;
+constexpr std::size_t kEncodedByteLength = 3;
+constexpr std::string_view kHexDigits = "0123456789ABCDEF";
 
 // Converts to thousandths; unreasonably large values are clamped.
 std::uint64_t thousandths(double value) {
@@ -31,6 +38,57 @@
   return {static_cast<double>(std::min(permille, kMaxPermille)) / kThousand};
 }
 
+// Returns whether the byte stands for itself in percent-encoded text (RFC 3986, section 2.3), or is
+// the separator within a caller's name.
+bool isUnreserved(char letter) {
+  return std::isalnum(static_cast<unsigned char>(letter)) != 0 ||
+         std::string_view("-._~/").find(letter) != std::string_view::npos;
+}
+
+std::string percentEncode(std::string_view text) {
+  std::string encoded;
+  for (const char letter : text) {
+    const auto code = static_cast<unsigned char>(letter);
+    if (isUnreserved(letter)) {
+      encoded += letter;
+    } else {
+      encoded += {'%', kHexDigits[code >> 4U], kHexDigits[code & 0xFU]};
+    }
+  }
+  return encoded;
+}
+
+std::string encodeCaller(const std::string& caller) {
+  std::string encoded = percentEncode(caller);
+  if (encoded.size() <= kMaxCallerBytes) {
+    return encoded;
+  }
+  return std::to_string(XXH3_64bits(caller.data(), caller.size()));
+}
+
+std::optional<std::string> decodeCaller(std::string_view text) {
+  if (text.size() > kMaxCallerBytes) {
+    return std::nullopt;
+  }
+  std::string decoded;
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    if (text[at] != '%') {
+      decoded += text[at];
+      continue;
+    }
+    const std::string_view digits = text.substr(at, kEncodedByteLength);
+    const bool is_whole = digits.size() == kEncodedByteLength;
+    const std::size_t high = is_whole ? kHexDigits.find(digits[1]) : std::string_view::npos;
+    const std::size_t low = is_whole ? kHexDigits.find(digits[2]) : std::string_view::npos;
+    if (high == std::string_view::npos || low == std::string_view::npos) {
+      return std::nullopt;
+    }
+    decoded += static_cast<char>(high << 4U | low);
+    at += kEncodedByteLength - 1;
+  }
+  return decoded;
+}
+
 }  // namespace
 
 void removePeerHeaders(HttpHead& head) {
@@ -71,6 +129,30 @@
                    static_cast<double>(demand) / kThousand};
 }
 
+std::string formatRoot(const request_root& root) {
+  return std::to_string(root.rank) + (root.repeatable ? "/1/" : "/0/") + encodeCaller(root.caller);
+}
+
+std::optional<request_root> parseRoot(const std::string* text) {
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  char* end = nullptr;
+  const std::uint64_t rank = std::strtoull(text->c_str(), &end, 10);
+  const std::string_view rest(end);
+  const bool repeatable = rest.substr(0, 3) == "/1/";
+  const bool is_valid = end != text->c_str() && rank <= std::numeric_limits<std::uint32_t>::max() &&
+                        (repeatable || rest.substr(0, 3) == "/0/");
+  if (!is_valid) {
+    return std::nullopt;
+  }
+  auto caller = decodeCaller(rest.substr(3));
+  if (!caller) {
+    return std::nullopt;
+  }
+  return request_root{static_cast<std::uint32_t>(rank), repeatable, std::move(*caller)};
+}
+
 std::string formatOverload(const std::vector<service_overload>& levels) {
   std::string text;
   for (const service_overload& entry : levels) {
--- a/daemon/proxy/peer_headers.h
+++ b/daemon/proxy/peer_headers.h
@@ -8,6 +8,7 @@
 
 #include "core/admission/downstream_overload.h"
 #include "core/placement/instance_directory.h"
+#include "core/request_root.h"
 #include "net/stream/http_head.h"
 
 namespace ramppond {
@@ -43,6 +44,10 @@
 constexpr std::string_view kPeerBlockedMs = "Ramppond-Barred-Ms";
 /// Requests: the name of the route.
 constexpr std::string_view kPeerRoute = "Ramppond-Route";
+/// Requests: the client's request at the root of the call tree: "rank/1 if its client may send it
+/// again, else 0/caller", the caller percent-encoded. Absent if unknown or if no active part uses
+/// it.
+constexpr std::string_view kPeerRoot = "Ramppond-Root";
 /// Answers: overload at the services that requests of this route need further down: "service=level
 /// in thousandths of a rank", separated by commas.
 constexpr std::string_view kPeerOverload = "Ramppond-Overload";
@@ -89,6 +94,10 @@
 std::string formatRate(const rate_load& rate);
 /// Returns std::nullopt if the text is malformed.
 std::optional<rate_load> parseRate(const std::string* text);
+/// A caller whose encoded name exceeds 96 bytes is replaced by a digest of its name.
+std::string formatRoot(const request_root& root);
+/// Returns std::nullopt if the text is malformed.
+std::optional<request_root> parseRoot(const std::string* text);
 /// Leaves out services whose names contain separators.
 std::string formatOverload(const std::vector<service_overload>& levels);
 /// Skips malformed entries.
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -52,17 +52,31 @@
 
 class ForwardedRequest;
 
+/// Which optional parts are active under the configuration in force.
+struct active_features {
+  bool fair_shares = false;
+  bool retry_order = false;
+  bool return_times = false;
+
+  /// Whether proxies tell each other the root of each call tree.
+  [[nodiscard]] auto needs_roots() const -> bool { return this->fair_shares || this->retry_order; }
+};
+
 struct ProxyContext {
   ProxyContext(EventLoop& event_loop, const ExternalApi& external,
                const OperatingBounds& operating_bounds, ProxySettings own_settings,
                std::uint64_t seed);
 
+  /// Puts `taken` in force.
+  void set_traffic(TrafficConfiguration taken);
+
   EventLoop& loop;
   const ExternalApi& api;
   ProxySettings settings;
   OperatingBounds bounds;
   Random random;
   std::shared_ptr<const TrafficInForce> traffic;
+  active_features features;
   authority_lease lease;  ///< Lease on judging API keys.
   quota_limiter quotas;
   InstanceDirectory directory;
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -183,9 +183,7 @@
   if (!session_.takeTrafficChanged()) {
     return;
   }
-  context_.traffic = std::make_shared<const TrafficInForce>(session_.traffic());
-  context_.own.set_services(session_.traffic().services);
-  context_.quotas.set_limits(session_.traffic().tenants);
+  context_.set_traffic(session_.traffic());
   const RequestLimits& limits = session_.traffic().limits;
   HttpServerOptions options = clients_.options();
   options.max_header_bytes = static_cast<std::uint32_t>(limits.max_header_bytes);
--- a/daemon/proxy/proxy_settings.cc
+++ b/daemon/proxy/proxy_settings.cc
@@ -6,6 +6,31 @@
 constexpr IntegerRange kPortRange = {1, 65535};
 constexpr IntegerRange kDescriptorRange = {64, 10'000'000};
 
+constexpr IntegerRange kUploadBufferRange = {1, 1024};  // MiB
+constexpr std::int64_t kDefaultUploadBufferMb = 16;
+constexpr unsigned kMbShift = 20;
+
+feature_mode featureMode(SettingsTable& root, const std::string& key) {
+  const std::string mode = root.choice(key, {"auto", "on", "off"});
+  if (mode == "on") {
+    return feature_mode::on;
+  }
+  return mode == "off" ? feature_mode::off : feature_mode::automatic;
+}
+
+void readFeatures(SettingsTable& root, ProxySettings& settings) {
+  settings.fair_shares = featureMode(root, "fair_shares");
+  settings.retry_order = featureMode(root, "retry_order");
+  settings.return_times = featureMode(root, "return_times");
+  settings.server_load = featureMode(root, "server_load");
+  const std::string placement = root.choice("placement", {"utilization", "expected_completion"});
+  settings.placement = placement == "utilization" ? placement_kind::utilization
+                                                  : placement_kind::expected_completion;
+  const std::int64_t upload_buffer =
+      root.optionalInteger("max_upload_buffer_mb", kDefaultUploadBufferMb, kUploadBufferRange);
+  settings.max_upload_buffer = {static_cast<std::uint64_t>(upload_buffer) << kMbShift};
+}
+
 ProxySettings settingsOf(SettingsTable& root) {
   ProxySettings settings;
   settings.name = root.requiredString("name");
@@ -23,6 +48,7 @@
       static_cast<std::uint32_t>(root.optionalInteger("max_descriptors", 0, kDescriptorRange));
   settings.bounds = root.strings("bounds");
   requireEndpoints(root, "seeds", settings.seeds);
+  readFeatures(root, settings);
   return settings;
 }
 
--- a/daemon/proxy/proxy_settings.h
+++ b/daemon/proxy/proxy_settings.h
@@ -6,6 +6,9 @@
 #include <vector>
 
 #include "common/settings.h"
+#include "core/byte_count.h"
+#include "core/feature_mode.h"
+#include "core/placement/placement_kind.h"
 
 namespace ramppond {
 
@@ -22,6 +25,17 @@
   std::uint16_t member_port = 0;   ///< Port of coordinators for proxies; the same on every machine.
   std::uint32_t max_descriptors = 0;  ///< Open files and sockets of the process; 0: no limit.
   std::vector<std::string> bounds;    ///< NAME=VALUE each; see ExternalApi.
+  /// Fair shares of scarce capacity; automatic: while the configuration has tenants.
+  feature_mode fair_shares = feature_mode::automatic;
+  /// Retries first for requests that their client cannot repeat; automatic as above.
+  feature_mode retry_order = feature_mode::automatic;
+  /// Return times of refused clients by the capacity to come; automatic as above.
+  feature_mode return_times = feature_mode::automatic;
+  /// The local server's reports on its machine; automatic: while it sends complete ones.
+  feature_mode server_load = feature_mode::automatic;
+  placement_kind placement = placement_kind::utilization;
+  /// Memory for the bodies of uploads, over all of them.
+  byte_count max_upload_buffer = {16ULL << 20U};
 };
 
 /// Reads the settings file at `path`. On an error, returns std::nullopt and sets `error`.
--- a/tests/core/retries/call_attribution_test.cc
+++ b/tests/core/retries/call_attribution_test.cc
@@ -129,5 +129,31 @@
             request_origin::client);
 }
 
+TEST_F(call_attribution_test, call_gets_the_root_of_its_run) {
+  const auto root = request_root{2, true, "council/lookup"};
+  this->attribution.on_begun(1, "lookup", this->now + milliseconds(1500), false, root);
+  const auto request = this->attribution.on_request("check", this->now + milliseconds(1500));
+  ASSERT_TRUE(request.root);
+  EXPECT_TRUE(*request.root == root);
+}
+
+// Several runs may match a call. It must not be charged to a caller that did not make it, and must
+// not lose the rank of the more urgent one.
+TEST_F(call_attribution_test, call_of_one_of_several_runs_gets_what_their_roots_share) {
+  const auto deadline = this->now + milliseconds(1500);
+  this->attribution.on_begun(1, "lookup", deadline, false, request_root{2, true, "a/lookup"});
+  this->attribution.on_begun(2, "lodge", deadline, false, request_root{1, false, "b/lodge"});
+  const auto request = this->attribution.on_request("check", deadline);
+  ASSERT_TRUE(request.root);
+  EXPECT_TRUE(*request.root == (request_root{1, false, ""}));
+}
+
+TEST_F(call_attribution_test, call_has_no_root_if_a_run_that_may_have_made_it_has_none) {
+  const auto deadline = this->now + milliseconds(1500);
+  this->attribution.on_begun(1, "lookup", deadline, false, request_root{2, true, "a/lookup"});
+  this->attribution.on_begun(2, "lodge", deadline);
+  EXPECT_FALSE(this->attribution.on_request("check", deadline).root);
+}
+
 }  // namespace
 }  // namespace ramppond
--- a/tests/daemon/proxy/peer_headers_test.cc
+++ b/tests/daemon/proxy/peer_headers_test.cc
@@ -72,5 +72,37 @@
   }
 }
 
+TEST(peer_headers, root_round_trips) {
+  for (const auto& root :
+       {request_root{0, true, "/lookup"}, request_root{4294967295, false, "council/lodge"},
+        request_root{7, true, ""}, request_root{1, false, "a,b\r\nc%/\xc3\xa9 /x"}}) {
+    const std::string text = formatRoot(root);
+    EXPECT_EQ(text.find_first_of("\r\n ,"), std::string::npos) << text;
+    const auto parsed = parseRoot(&text);
+    ASSERT_TRUE(parsed) << text;
+    EXPECT_TRUE(*parsed == root) << text;
+  }
+}
+
+// A long tenant name must not make the head of a request too large for the next proxy.
+TEST(peer_headers, root_with_long_caller_is_shortened_to_the_same_digest) {
+  const request_root root = {1, true, std::string(5000, 'x')};
+  EXPECT_LE(formatRoot(root).size(), 110U);
+  EXPECT_EQ(formatRoot(root), formatRoot(root));
+  EXPECT_NE(formatRoot(root), formatRoot({1, true, std::string(5001, 'x')}));
+  const std::string text = formatRoot(root);
+  EXPECT_TRUE(parseRoot(&text));
+}
+
+TEST(peer_headers, parse_root_rejects_malformed_text) {
+  EXPECT_FALSE(parseRoot(nullptr));
+  for (const std::string text : {"", "1", "1/", "/1/x", "x/1/y", "1/2/x", "1/1", "-1/1/x",
+                                 "99999999999/1/x", "1/1/%", "1/1/%4", "1/1/%zz"}) {
+    EXPECT_FALSE(parseRoot(&text)) << text;
+  }
+  const std::string too_long = "1/1/" + std::string(97, 'x');
+  EXPECT_FALSE(parseRoot(&too_long));
+}
+
 }  // namespace
 }  // namespace ramppond
