Test of refusals under overload: 502 is right where a peer was silent

Trace: 9 lines peer_silent, 15 retries after 'peer silent', then 31 answers 502 'no server left'. A process that gets no processor for 250 ms is silent to its peers, and a request that waits there may have run, so 502 is the true answer. Change: 502 is accepted only if a proxy logged peer_silent; without it the check is as before.

--- a/tests/platform/forwarding_fixture.cc
+++ b/tests/platform/forwarding_fixture.cc
@@ -2,6 +2,7 @@
 
 #include <fstream>
 #include <iostream>
+#include <sstream>
 
 namespace ramppond::fake_platform {
 
@@ -20,6 +21,12 @@
   }
 }
 
+bool ForwardingTest::logContains(const std::string& text) {
+  std::stringstream log;
+  log << std::ifstream(deployment_.folder + "/log").rdbuf();
+  return log.str().find(text) != std::string::npos;
+}
+
 bool isUnsafe(std::size_t number) {
   return number % 3 == 0;
 }
--- a/tests/platform/forwarding_test.cc
+++ b/tests/platform/forwarding_test.cc
@@ -42,6 +42,11 @@
       continue;
     }
     refused += 1;
+    // On a busy machine a process may stand still for longer than the time after which its peers
+    // take it for silent. A request that waits there may have run.
+    if (answer.status == 502 && logContains("\"event\":\"peer_silent\"")) {
+      continue;
+    }
     EXPECT_EQ(answer.status, 503);
     EXPECT_FALSE(answer.retry_after.empty());
     EXPECT_EQ(runsOf(id), 0);
