Uploads: bodies of upload routes are buffered whole within one bound of memory

Cause: a body above 64 KiB was streamed, so the request had one attempt and was not withheld; an upload whose first peer was gone or full failed although another server had room. The receiving proxy reserves memory for the rest of a withheld body before it confirms the slot. Routes of other kinds are as before. Event uploads.

--- a/daemon/proxy/forwarded_body.h
+++ b/daemon/proxy/forwarded_body.h
@@ -16,6 +16,11 @@
 /// hold them all in memory; with a smaller one, common forms could not be sent to a second server.
 constexpr auto max_buffered_body_bytes = std::size_t(65536);
 
+/// The same for uploads, whose total is bounded separately (upload_buffers). A slot is reserved for
+/// confirmation_time while the rest of a withheld body is transferred, so a longer one would be
+/// refused on a slow link.
+constexpr auto max_buffered_upload_bytes = std::size_t(1) << 20U;
+
 class forwarded_body {
  public:
   enum class state : std::uint8_t {
@@ -30,8 +35,9 @@
   void count_received(std::size_t bytes) { this->received_bytes += bytes; }
 
   void append(std::string_view data) { this->buffer.append(data); }
-  [[nodiscard]] auto exceeds_buffer_limit() const -> bool {
-    return this->buffer.size() >= max_buffered_body_bytes;
+  [[nodiscard]] auto exceeds_buffer_limit(std::size_t limit = max_buffered_body_bytes) const
+      -> bool {
+    return this->buffer.size() >= limit;
   }
   /// Stops buffering for later attempts: the body is streamed by the current one.
   void start_streaming() {
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -19,6 +19,11 @@
       deadline_timer_(context.loop),
       wait_timer_(context.loop) {}
 
+ForwardedRequest::~ForwardedRequest() {
+  context_.attempting.erase(this);
+  releaseUpload();
+}
+
 void ForwardedRequest::start() {
   context_.counters.requests += 1;
   params_.received = EventLoop::now();
@@ -39,6 +44,8 @@
   if (!exchange_->hasBody()) {
     body_.end();
     attempt();
+  } else if (params_.route->kind == RequestKind::kUpload) {
+    upload_ = context_.uploads.add(*this, params_.received);
   }
 }
 
@@ -58,18 +65,51 @@
     }
     return;
   }
+  bufferBody(data);
+}
+
+void ForwardedRequest::bufferBody(std::string_view data) {
   body_.append(data);
-  if (state_ == State::kReceiving && body_.exceeds_buffer_limit()) {
+  if (state_ != State::kReceiving) {
+    return;
+  }
+  if (!upload_) {
+    if (body_.exceeds_buffer_limit()) {
+      stopBuffering();
+    }
+    return;
+  }
+  if (body_.exceeds_buffer_limit(max_buffered_upload_bytes)) {
+    stopBuffering();
+    return;
+  }
+  context_.uploads.on_received(*upload_, {data.size()}, EventLoop::now());
+}
+
+void ForwardedRequest::stopBuffering() {
+  const auto self = shared_from_this();
+  releaseUpload();
+  if (state_ == State::kReceiving) {
     body_.start_streaming();
     attempt();
   }
 }
 
+void ForwardedRequest::releaseUpload() {
+  if (upload_) {
+    context_.uploads.remove(*upload_);
+    upload_.reset();
+  }
+}
+
 void ForwardedRequest::onRequestEnd() {
   if (state_ == State::kDone || body_.ended()) {
     return;
   }
   body_.end();
+  if (upload_) {
+    context_.uploads.on_complete(*upload_);
+  }
   if (attempt_) {
     attempt_->upstream->finishBody();
   } else if (state_ == State::kReceiving) {
@@ -120,6 +160,7 @@
   wait_timer_.cancel();
   deadline_timer_.cancel();
   endAttempt();
+  releaseUpload();
 }
 
 }  // namespace ramppond
--- a/daemon/proxy/forwarded_request.h
+++ b/daemon/proxy/forwarded_request.h
@@ -46,13 +46,15 @@
   /// Handles `exchange` until it ends.
   static void serve(ProxyContext& context, const std::shared_ptr<ServerExchange>& exchange);
   ForwardedRequest(ProxyContext& context, std::shared_ptr<ServerExchange> exchange);
-  ~ForwardedRequest() override { context_.attempting.erase(this); }
+  ~ForwardedRequest() override;
   ForwardedRequest(const ForwardedRequest&) = delete;
   ForwardedRequest& operator=(const ForwardedRequest&) = delete;
 
   /// The proxy beside `instance` has stopped answering. A request that is waiting there and may be
   /// retried is sent elsewhere; any other keeps waiting, since it may still be running.
   void onPeerSilent(const KnownInstance& instance);
+  /// The memory for uploads is short: the body is streamed from now on.
+  void stopBuffering();
 
   void onRequestBody(std::string_view data) override;
   void onRequestEnd() override;
@@ -76,6 +78,8 @@
   };
 
   void start();
+  void bufferBody(std::string_view data);
+  void releaseUpload();
   void onDeadline();
   /// Cancels the timers and ends the attempt. The caller answers the client.
   void done();
@@ -117,7 +121,8 @@
   State state_ = State::kReceiving;
   forwarded_params params_;
   forwarded_body body_;
-  std::string digest_;  ///< See kPeerDigest; computed for the first attempt.
+  std::optional<upload_id> upload_;  ///< Set while the body of an upload is buffered.
+  std::string digest_;               ///< See kPeerDigest; computed for the first attempt.
   forwarded_history history_;
   std::optional<forwarded_attempt> attempt_;  ///< Set in kAttempting and kAnswering.
   LoopTimer deadline_timer_;
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -179,12 +179,32 @@
     return;
   }
   if (withheld_body_ && !body_ended_) {
+    if (!holdBody()) {
+      refuse(inbound_refusal::queue_full);
+      finishServerWork(ServerOutcome::kWithdrawn);
+      return;
+    }
     requestConfirmation();
   } else {
     dispatch();
   }
 }
 
+bool InboundRequest::holdBody() {
+  if (withheld_body_->bytes > kMaxBufferedBodyBytes) {
+    held_body_ = context_.uploads.hold({withheld_body_->bytes});
+    return held_body_.has_value();
+  }
+  return true;
+}
+
+void InboundRequest::releaseBody() {
+  if (held_body_) {
+    context_.uploads.remove(*held_body_);
+    held_body_.reset();
+  }
+}
+
 void InboundRequest::requestConfirmation() {
   state_ = State::kAwaitingConfirmation;
   exchange_->sendInterim(kProcessing);
@@ -233,6 +253,7 @@
                                                shared_from_this());
   body_.clear();
   body_.shrink_to_fit();
+  releaseBody();
   exchange_->resumeRequestBody();
 }
 
@@ -248,6 +269,7 @@
 
 void InboundRequest::done() {
   state_ = State::kDone;
+  releaseBody();
   context_.guard.leave(admission_.id);
 }
 
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -67,6 +67,9 @@
   void refuseBlocked(TimePoint until);
   void requestAdmission();
   void requestConfirmation();
+  /// Reserves memory for the rest of a long withheld body. Returns false if there is none.
+  bool holdBody();
+  void releaseBody();
   void onConfirmed();
   void onConfirmationTimeout();
   void dispatch();
@@ -99,6 +102,7 @@
   std::string route_;
   std::optional<request_digest> digest_;
   AdmissionRequest admission_;
+  std::optional<upload_id> held_body_;  ///< Its memory in the buffers for uploads.
   TimePoint received_{0};
   TimePoint deadline_{0};
   TimePoint begun_{0};  ///< When the request was admitted.
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -35,7 +35,8 @@
       peers(event_loop, external.headers().request_id),
       budgets(bounds.retry_ratio, bounds.retry_extra),
       monitor(directory, peers, attempting, counters),
-      waiting(event_loop, own.admission()) {
+      waiting(event_loop, own.admission()),
+      uploads(settings.max_upload_buffer) {
   own.on_gone = [this](const std::string& incarnation) { guard.on_server_gone(incarnation); };
   if (settings.max_descriptors > 0) {
     loop.sockets().limit({settings.max_descriptors});
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -30,6 +30,7 @@
 #include "daemon/proxy/peer_pools.h"
 #include "daemon/proxy/proxy_counters.h"
 #include "daemon/proxy/proxy_settings.h"
+#include "daemon/proxy/upload_buffers.h"
 #include "daemon/proxy/waiting_requests.h"
 #include "net/stream/event_loop.h"
 #include "net/stream/http_client.h"
@@ -90,6 +91,7 @@
   std::set<ForwardedRequest*> attempting;  ///< Requests with an attempt in flight.
   peer_monitor monitor;
   waiting_requests waiting;
+  upload_buffers uploads;
   std::function<void()> on_tenant_surge;
   /// When a request that originated here last ended without success.
   TimePoint last_failed_forward{0};
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -266,6 +266,19 @@
   gauges.service_time = context_.own.admission().serviceTime(EventLoop::now());
   logEvent(EventLoop::now().count(), "counters", counter_fields(context_.counters, gauges));
   context_.own.log_limit_use();
+  logUploads();
+}
+
+void ProxyProcess::logUploads() const {
+  const auto& routes = session_.traffic().routes;
+  const bool has_uploads = std::any_of(routes.begin(), routes.end(), [](const TrafficRoute& route) {
+    return route.kind == RequestKind::kUpload;
+  });
+  if (has_uploads) {
+    logEvent(EventLoop::now().count(), "uploads",
+             {{"held_bytes", std::to_string(context_.uploads.held().value)},
+              {"streamed", std::to_string(context_.uploads.stopped())}});
+  }
 }
 
 }  // namespace ramppond
--- a/daemon/proxy/proxy_process.h
+++ b/daemon/proxy/proxy_process.h
@@ -47,6 +47,8 @@
   void onSecondElapsed();
   void checkPeers();
   void logCounters();
+  /// Logs the event `uploads` while the configuration in force has a route for uploads.
+  void logUploads() const;
 
   EventLoop loop_;
   SettingsWatch settings_watch_;
