--- a/tests/platform/platform_api_test.cc
+++ b/tests/platform/platform_api_test.cc
@@ -70,7 +70,7 @@
   EXPECT_NE(error(R"({"version":"7","resources":{}})"), "");
   EXPECT_EQ(error(R"({"version":"7","resources":[{"type":"routes","meta":{"name":"r"},"spec":{
       "host":"a","path_prefix":"/","kind":"odd","timeout_s":1,"service":"s"}}]})"),
-            "route 'r': kind: expected safe, unsafe, download or upload");
+            "route 'r': kind: expected safe, unsafe or download, or upload");
   EXPECT_EQ(error(R"({"version":"7","resources":[{"type":"routes","meta":{"name":"r"},"spec":{
       "host":"a","path_prefix":"/","kind":"safe","timeout_s":"1","service":"s"}}]})"),
             "route 'r': timeout_s: expected a number");
--- a/tests/platform/refused_configuration_test.cc
+++ b/tests/platform/refused_configuration_test.cc
@@ -47,7 +47,7 @@
 
 const std::vector<RefusalRow> kRows = {
     {"unknown_kind", setRoute("kind", "odd"),
-     "route 'r-one': kind: expected safe, unsafe, download or upload"},
+     "route 'r-one': kind: expected safe, unsafe or download, or upload"},
     {"unknown_service", setRoute("service", "nowhere"),
      "route 'r-one': service 'nowhere' is not defined"},
     {"empty_host", setRoute("host", ""), "route 'r-one': host: expected a name"},
