Call trees: calls with deadlines of their own get the usual root of their callers

Cause: a server gives a call less time than its run has left where the call has a shorter time-out. Change: root_estimate takes the most frequent rank and kind of the runs that may have made a call; without an equal deadline these are the runs of its known callers that outlast it.

--- a/core/request_root.h
+++ b/core/request_root.h
@@ -32,14 +32,4 @@
   return name;
 }
 
-/// Returns the root of a call that a run of either root may have made: the more urgent rank,
-/// repeatable if both are, and no caller if they differ.
-inline auto merge_roots(const request_root& left, const request_root& right) -> request_root {
-  auto merged = request_root();
-  merged.rank = left.rank < right.rank ? left.rank : right.rank;
-  merged.repeatable = left.repeatable && right.repeatable;
-  merged.caller = left.caller == right.caller ? left.caller : std::string();
-  return merged;
-}
-
 }  // namespace ramppond
--- a/core/retries/call_attribution.cc
+++ b/core/retries/call_attribution.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/retries/root_estimate.h"
+
 namespace ramppond {
 namespace {
 
@@ -86,7 +88,7 @@
 void call_attribution::attribute_to_run(TimePoint deadline, attributed_request& request) {
   run* only = nullptr;
   auto matching = std::size_t(0);
-  auto all_roots_known = true;
+  auto root = root_estimate();
   for (auto& [id, r] : this->runs) {
     if (!is_equal(r.deadline, deadline)) {
       continue;
@@ -94,14 +96,9 @@
     only = &r;
     ++matching;
     request.of_retry = request.of_retry || r.retry;
-    all_roots_known = all_roots_known && r.root;
-    if (r.root) {
-      request.root = request.root ? merge_roots(*request.root, *r.root) : *r.root;
-    }
-  }
-  if (!all_roots_known) {
-    request.root.reset();
+    root.add(r.root);
   }
+  request.root = root.result();
   if (matching != 1) {
     return;
   }
@@ -113,6 +110,25 @@
   }
 }
 
+// A server may give a call less time than its run has left. The call then matches no deadline, but
+// only runs that outlast it can have made it.
+auto call_attribution::root_of_possible_runs(const callee& to, TimePoint deadline) const
+    -> std::optional<request_root> {
+  auto root = root_estimate();
+  for (const auto& [id, r] : this->runs) {
+    if (!ends_before_call(r.deadline, deadline) && is_caller(to, r.route)) {
+      root.add(r.root);
+    }
+  }
+  return root.result();
+}
+
+auto call_attribution::is_caller(const callee& to, const std::string& route) -> bool {
+  const auto found = to.callers.find(route);
+  return found != to.callers.end() && found->second >= min_caller_calls &&
+         found->second >= min_caller_share * static_cast<double>(to.attributed);
+}
+
 auto call_attribution::single_caller(TimePoint deadline) const -> const std::string* {
   auto equal = single_route();
   auto possible = single_route();
@@ -149,6 +165,9 @@
   }
   auto request = attributed_request{request_origin::server_or_unknown};
   this->attribute_to_run(deadline, request);
+  if (!request.root) {
+    request.root = this->root_of_possible_runs(callee, deadline);
+  }
   if (const auto* caller = this->single_caller(deadline)) {
     ++callee.callers[*caller];
     ++callee.attributed;
@@ -164,13 +183,7 @@
 auto call_attribution::calls_of(const std::string& route) const -> std::vector<std::string> {
   auto calls = std::vector<std::string>();
   for (const auto& [name, callee] : this->callees) {
-    const auto found = callee.callers.find(route);
-    if (found == callee.callers.end() || callee.client_share > majority_share) {
-      continue;
-    }
-    const bool enough = found->second >= min_caller_calls &&
-                        found->second >= min_caller_share * static_cast<double>(callee.attributed);
-    if (enough) {
+    if (callee.client_share <= majority_share && is_caller(callee, route)) {
       calls.push_back(name);
     }
   }
--- a/core/retries/call_attribution.h
+++ b/core/retries/call_attribution.h
@@ -37,7 +37,7 @@
   std::optional<std::uint32_t> remaining_calls = std::nullopt;
   /// Whether some run that may have made it is a retry.
   bool of_retry = false;
-  /// Root of the run that made it, merged over all runs that may have; see merge_roots().
+  /// Root of the run that made it, estimated from all runs that may have.
   std::optional<request_root> root = std::nullopt;
 };
 
@@ -84,6 +84,11 @@
   [[nodiscard]] auto single_caller(TimePoint deadline) const -> const std::string*;
   void learn_calls_per_run(const run& ended);
   void attribute_to_run(TimePoint deadline, attributed_request& request);
+  // The estimate for a call to `to` that has a deadline of its own, by the runs of its known
+  // callers.
+  [[nodiscard]] auto root_of_possible_runs(const callee& to, TimePoint deadline) const
+      -> std::optional<request_root>;
+  static auto is_caller(const callee& to, const std::string& route) -> bool;
 
   std::map<run_id, run> runs;
   std::map<std::string, callee> callees;
