Proxy: retries in order while retry_order is active

spendRetryBudget asks the budget by the class of the tree (request_root::repeatable; unknown: the client can repeat it) and by whether a direct request has not run. The totals granted and denied of each class are written as the event retry_order beside the counters, if a retry was asked for. Inactive, the reserve is the one of before.

--- a/daemon/proxy/forwarded_request.h
+++ b/daemon/proxy/forwarded_request.h
@@ -91,10 +91,12 @@
   /// Whether another attempt may follow one that ended with `end`. `arrivals` includes that
   /// attempt.
   [[nodiscard]] retry_verdict judgeRetry(attempt_end end, std::uint32_t arrivals) const;
-  /// Charges a retry to the service's retry budget. Returns false if the budget does not allow it.
-  bool spendRetryBudget();
-  /// Applies a verdict, charging the retry budget where required. Returns whether to retry.
-  bool authorizeRetry(const retry_verdict& verdict);
+  /// Charges a retry after `end` to the service's retry budget. Returns false if the budget does
+  /// not allow it.
+  bool spendRetryBudget(attempt_end end);
+  /// Applies a verdict on `end`, charging the retry budget where required. Returns whether to
+  /// retry.
+  bool authorizeRetry(const retry_verdict& verdict, attempt_end end);
   void retry(const std::string& reason);
 
   void recordLoad(const HttpHead& head);
--- a/daemon/proxy/forwarded_retry.cc
+++ b/daemon/proxy/forwarded_retry.cc
@@ -105,8 +105,13 @@
   return decide_retry(ended);
 }
 
-bool ForwardedRequest::spendRetryBudget() {
-  const budget_reserve reserve = reserve_of(params_.is_call, params_.attributed.remaining_calls);
+bool ForwardedRequest::spendRetryBudget(attempt_end end) {
+  const bool has_not_run = end == attempt_end::not_run && !history_.may_have_run;
+  const ordered_retry asked = ordered_retry_of(params_, has_not_run);
+  const bool ordered = context_.features.retry_order;
+  const budget_reserve reserve =
+      ordered ? reserve_in_order(asked)
+              : reserve_of(params_.is_call, params_.attributed.remaining_calls);
   const budget_draw draw = {context_.random.uniform()};
   const bool paid = context_.budgets.of(params_.service).take(EventLoop::now(), reserve, draw);
   if (paid) {
@@ -114,12 +119,15 @@
   } else {
     context_.counters.retries_unpaid += 1;
   }
+  if (ordered) {
+    context_.ordered_retries.record(class_of(asked), paid);
+  }
   return paid;
 }
 
-bool ForwardedRequest::authorizeRetry(const retry_verdict& verdict) {
+bool ForwardedRequest::authorizeRetry(const retry_verdict& verdict, attempt_end end) {
   if (std::holds_alternative<retry_from_budget>(verdict)) {
-    return spendRetryBudget();
+    return spendRetryBudget(end);
   }
   return std::holds_alternative<retry_without_budget>(verdict);
 }
@@ -146,7 +154,7 @@
     return;
   }
   const attempt_end end = end_of(attempt_failure::peer_silent, false);
-  if (!authorizeRetry(judgeRetry(end, history_.arrivals + 1))) {
+  if (!authorizeRetry(judgeRetry(end, history_.arrivals + 1), end)) {
     return;
   }
   attempt_->upstream->cancel();
@@ -163,7 +171,7 @@
 void ForwardedRequest::onAttemptEnded(attempt_end end, const std::string& reason) {
   endAttempt();
   history_.record(end);
-  if (authorizeRetry(judgeRetry(end, history_.arrivals))) {
+  if (authorizeRetry(judgeRetry(end, history_.arrivals), end)) {
     context_.counters.retries_of_unknown += end == attempt_end::unknown ? 1 : 0;
     retry(reason);
     return;
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -30,6 +30,7 @@
 #include "daemon/proxy/peer_pools.h"
 #include "daemon/proxy/proxy_counters.h"
 #include "daemon/proxy/proxy_settings.h"
+#include "daemon/proxy/retry_order.h"
 #include "daemon/proxy/waiting_requests.h"
 #include "net/stream/event_loop.h"
 #include "net/stream/http_client.h"
@@ -87,6 +88,7 @@
   crash_guard guard;             ///< Guards the local server.
   peer_pools peers;
   retry_budgets budgets;
+  retry_order_totals ordered_retries;      ///< While features.retry_order is active.
   std::set<ForwardedRequest*> attempting;  ///< Requests with an attempt in flight.
   peer_monitor monitor;
   waiting_requests waiting;
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -266,6 +266,9 @@
   gauges.service_time = context_.own.admission().serviceTime(EventLoop::now());
   logEvent(EventLoop::now().count(), "counters", counter_fields(context_.counters, gauges));
   context_.own.log_limit_use();
+  if (context_.features.retry_order) {
+    context_.ordered_retries.write_log(EventLoop::now());
+  }
 }
 
 }  // namespace ramppond
