--- a/core/retries/retry_reserve.h
+++ b/core/retries/retry_reserve.h
@@ -61,12 +61,11 @@
 /// Reserve of the last call of a tree that its client can repeat; larger than that of any call of a
 /// tree that it cannot. With 0.6, the weighted trees that complete differ by less than 1%.
 constexpr auto reserve_of_repeatable = budget_reserve{0.9};
-/// For each remaining call. With 0.1, 354 weighted trees of 8 calls complete per second in place of
-/// 407, since their first calls, which are most of the requests, get too few retries.
+/// For each remaining call. With 0.1, 13% fewer weighted trees of 8 calls complete, since their
+/// first calls, which are most of the requests, get too few retries.
 constexpr auto reserve_per_unrepeatable_call = budget_reserve{0.03};
-/// The same for trees that the client can repeat. Without it, 626 weighted trees of 4 calls
-/// complete per second in place of 688. The forecast bounds what is kept, so a small step sets the
-/// order.
+/// The same for trees that the client can repeat. Without it, 9% fewer weighted trees of 4 calls
+/// complete. The forecast bounds what is kept, so a small step is enough for the order.
 constexpr auto reserve_per_repeatable_call = budget_reserve{0.01};
 /// The longest runs count as if they had so many remaining calls, so that the classes do not
 /// overlap.
--- a/tests/core/retries/retry_order_test.cc
+++ b/tests/core/retries/retry_order_test.cc
@@ -86,7 +86,9 @@
  public:
   service_run(incident load, rule judged, std::uint64_t seed)
       : load(load), judged(judged), random(seed) {
-    for (auto& each : this->budgets) each = this->new_budget();
+    for (auto& each : this->budgets) {
+      each = this->new_budget();
+    }
   }
 
   auto play() -> outcome {
@@ -250,7 +252,7 @@
       return;
     }
     r.returned = true;
-    const auto stated = goal.count() / 3 * (1 + this->random.uniform());
+    const auto stated = static_cast<double>(goal.count()) / 3 * (1 + this->random.uniform());
     const auto delay =
         std::min(Duration(static_cast<std::int64_t>(stated)), this->time_left(r) / 3);
     this->after(delay, [this, r] { this->send(r); });
@@ -260,7 +262,9 @@
   void measure_ratio() {
     const auto sum = [](std::map<std::int64_t, double>& counts, std::int64_t begin) {
       auto total = 0.0;
-      for (auto i = begin; i < begin + std::int64_t(window_slots); ++i) total += counts[i];
+      for (auto i = begin; i < begin + std::int64_t(window_slots); ++i) {
+        total += counts[i];
+      }
       return total;
     };
     const auto last = this->now / slot - std::int64_t(window_slots);
