--- a/core/retries/retry_reserve.h
+++ b/core/retries/retry_reserve.h
@@ -59,13 +59,13 @@
 };
 
 /// Reserve of the last call of a tree that its client can repeat; larger than that of any call of a
-/// tree that it cannot. With 0.6, the weighted trees that complete differ by less than 1%.
+/// tree that it cannot.
 constexpr auto reserve_of_repeatable = budget_reserve{0.9};
-/// For each remaining call. With 0.1, 13% fewer weighted trees of 8 calls complete, since their
-/// first calls, which are most of the requests, get too few retries.
+/// For each remaining call. With a larger share the first calls of long runs, which are most of the
+/// requests, get too few retries.
 constexpr auto reserve_per_unrepeatable_call = budget_reserve{0.03};
-/// The same for trees that the client can repeat. Without it, 9% fewer weighted trees of 4 calls
-/// complete. The forecast bounds what is kept, so a small step is enough for the order.
+/// The same for trees that the client can repeat. The forecast bounds what is kept, so a small step
+/// is enough for the order.
 constexpr auto reserve_per_repeatable_call = budget_reserve{0.01};
 /// The longest runs count as if they had so many remaining calls, so that the classes do not
 /// overlap.
@@ -74,11 +74,9 @@
 constexpr auto ordered_calls_of_unknown_place = std::uint32_t(2);
 /// Everything that trees are expected to request is kept from direct requests.
 constexpr auto reserve_of_direct = budget_reserve{1};
-/// Retries that more valuable trees will request within this time are kept for them. With 10 s,
-/// fewer weighted trees complete than by reserve_of() when a service refuses 30% for 2 s (2,117 per
-/// second in place of 2,304), since they are kept for an incident that has ended. With 1 s, 29% of
-/// the trees that their client cannot repeat complete in place of 39% when it refuses 55% for 8.5
-/// s.
+/// Retries that more valuable trees will request within this time are kept for them. With a longer
+/// time they are still kept when a short incident has ended; with a shorter one less valuable
+/// retries use up the budget of a long incident.
 constexpr auto retry_forecast = Duration(milliseconds(2500));
 
 constexpr auto class_of(const ordered_retry& retry) -> retry_class {
