--- a/core/retries/retry_budget.cc
+++ b/core/retries/retry_budget.cc
@@ -53,8 +53,11 @@
     -> double {
   auto sum = 0.0;
   for (const auto& s : this->slots) {
+    if (s.number < begin) {
+      continue;
+    }
     for (const auto& [share, count] : s.requested) {
-      sum += s.number >= begin && share < reserve.share ? count : 0;
+      sum += share < reserve.share ? count : 0;
     }
   }
   return sum;
