Placement: move the cost by utilization into its own policy

The rule was part of InstanceDirectory, so another rule could not be put beside it. The directory now decides which servers may be chosen, utilization_cost selects one of them.

--- a/core/placement/instance_directory.cc
+++ b/core/placement/instance_directory.cc
@@ -6,41 +6,6 @@
 namespace ramppond {
 namespace {
 
-// Costs have no unit. An idle server costs this, a server with all slots in use 1 more. With a
-// lower cost, speed and zone hardly count while servers are idle; with a higher one, utilization
-// hardly counts.
-constexpr double kIdleCost = 0.3;
-// Cost factor for servers in the own zone, since traffic between zones has a price. With a lower
-// factor the own zone fills up while others have free slots; with a higher one more requests leave
-// it without need.
-constexpr double kOwnZoneFactor = 0.6;
-// The same factor for a server that is nearly full, since a request that finds no free slot costs
-// far more than its traffic. With a lower factor requests are refused in one zone while another has
-// free slots; with 1, equally full zones exchange requests without gain.
-constexpr double kOwnZoneFactorWhenFull = 0.85;
-// The factor rises linearly from the first value to the second between these utilizations.
-constexpr double kOwnZoneFactorRiseBegin = 0.5;
-constexpr double kOwnZoneFactorRiseEnd = 0.9;
-// Ordinary ratio of the service times of servers of one service. With a lower ratio, ordinary
-// differences move requests out of the zone; with a higher one, a server that has become slow keeps
-// its requests.
-constexpr double kOrdinarySpeedRatio = 2.5;
-// Lifetime of a load report. With a longer one, a server that was slow gets no request that could
-// show its recovery; with a shorter one, little is known about servers that get few requests.
-constexpr Duration kLoadReportValid = seconds(2);
-// Added costs of servers that are chosen only if no other is left, in order of preference. Each
-// exceeds the previous one, and all of them exceed the cost of any ordinary load.
-constexpr double kRefusedCost = 10;
-constexpr double kStoppingCost = 50;
-constexpr double kUnreachableCost = 100;
-// Cost factor for each unit of failed share above the median of the service: a server that fails a
-// quarter of its requests more than others costs three times as much. With a lower weight it keeps
-// its share of requests; with a higher one a few chance failures exclude a server.
-constexpr double kFailedShareWeight = 8;
-constexpr double kThousandths = 1000;
-// Maximum random addition to a cost, which spreads requests over servers of equal cost. A larger
-// one hides differences.
-constexpr double kTieBreak = 0.02;
 // For this time a server that refused a request for lack of capacity is chosen after others. With a
 // shorter time the next requests are refused too; with a longer one a server with free slots stays
 // idle.
@@ -53,37 +18,13 @@
 // longer one a proxy that is back stays idle.
 constexpr Duration kFirstUnreachablePause = milliseconds(200);
 constexpr std::uint32_t kMaximumPauseDoublings = 4;
-// Minimum number of slots that is assumed before a server's load has been reported.
-constexpr double kAssumedSlots = 8;
-// A reported demand counts half after this time. It decays as the inverse of its age, so that the
-// more proxies exceed a server's rate, the later they return to it.
-constexpr Duration kDemandHalvedAfter = seconds(1);
-// A higher demand counts as this. With a lower maximum large fleets return too soon; with a higher
-// one a server that was overloaded before it named its rate gets no requests long after it accepts
-// more again.
-constexpr double kMaximumDemand = 4;
-// Requests per second. Lower named rates count as this.
-constexpr double kMinimumNamedRate = 0.25;
 // Maximum number of routes with a known service time at one server. Bounds memory.
 constexpr std::size_t kMaximumRoutes = 64;
 
-// Returns the cost factor of a server in the own zone at this utilization.
-double ownZoneFactor(double utilization) {
-  const double beyond =
-      (utilization - kOwnZoneFactorRiseBegin) / (kOwnZoneFactorRiseEnd - kOwnZoneFactorRiseBegin);
-  const double risen = std::clamp(beyond, 0.0, 1.0);
-  return kOwnZoneFactor + (kOwnZoneFactorWhenFull - kOwnZoneFactor) * risen;
-}
-
 }  // namespace
 
-std::optional<rate_load> KnownInstance::rate() const {
-  const bool current = named_rate && named_rate->incarnation == record.server_incarnation;
-  return current ? std::optional<rate_load>(named_rate->load) : std::nullopt;
-}
-
 InstanceDirectory::InstanceDirectory(InstanceDirectoryOptions options)
-    : options_(std::move(options)), random_(options_.random_seed) {}
+    : policy_(utilization_cost(std::move(options.zone), options.random_seed)) {}
 
 bool InstanceDirectory::offer(const InstanceRecord& record) {
   KnownInstance& known = by_proxy_[record.proxy_address];
@@ -141,97 +82,6 @@
   return daemons;
 }
 
-double InstanceDirectory::rateUtilization(const KnownInstance& instance, TimePoint now) {
-  const std::optional<rate_load> rate = instance.rate();
-  if (!rate) {
-    return 0;
-  }
-  const double age = static_cast<double>((now - instance.load_reported).count()) /
-                     static_cast<double>(kDemandHalvedAfter.count());
-  const double sent =
-      (instance.sent_since_report + 1) / std::max(rate->limit.per_second, kMinimumNamedRate);
-  return std::min(rate->demand, kMaximumDemand) / (1 + age) + sent;
-}
-
-double InstanceDirectory::utilization(const KnownInstance& instance, TimePoint now) {
-  const double reported = instance.load.limit;
-  const double limit =
-      reported > 0 ? reported : std::max<double>(instance.record.slots, kAssumedSlots);
-  const double busy = instance.load.under_way + instance.load.waiting + instance.sent_since_report;
-  const double slots = (std::max<double>(busy, instance.sent) + 1) / limit;
-  return std::max(slots, rateUtilization(instance, now));
-}
-
-bool InstanceDirectory::hasRecentLoad(const KnownInstance& instance, TimePoint now) {
-  return instance.load.limit > 0 && now - instance.load_reported < kLoadReportValid;
-}
-
-std::optional<Duration> InstanceDirectory::recentServiceTime(const KnownInstance& instance,
-                                                             const std::string& route,
-                                                             TimePoint now) {
-  const auto found = instance.service_times.find(route);
-  const bool recent =
-      found != instance.service_times.end() && now - found->second.reported < kLoadReportValid;
-  return recent ? std::optional<Duration>(found->second.time) : std::nullopt;
-}
-
-InstanceDirectory::ServiceBaseline InstanceDirectory::baselineOfCandidates(const std::string& route,
-                                                                           TimePoint now) {
-  ServiceBaseline baseline;
-  failed_.clear();
-  for (const KnownInstance* instance : candidates_) {
-    const auto service_time = recentServiceTime(*instance, route, now);
-    if (service_time) {
-      baseline.fastest = std::min(baseline.fastest.value_or(*service_time), *service_time);
-    }
-    if (hasRecentLoad(*instance, now)) {
-      failed_.push_back(instance->load.failed_permille);
-    }
-  }
-  if (!failed_.empty()) {
-    const auto median = failed_.begin() + static_cast<std::ptrdiff_t>((failed_.size() - 1) / 2);
-    std::nth_element(failed_.begin(), median, failed_.end());
-    baseline.median_failed_permille = *median;
-  }
-  return baseline;
-}
-
-double InstanceDirectory::slowness(const KnownInstance& instance, const std::string& route,
-                                   const ServiceBaseline& baseline, TimePoint now) {
-  const auto service_time = recentServiceTime(instance, route, now);
-  if (!service_time || !baseline.fastest || *baseline.fastest <= Duration(0)) {
-    return 1;
-  }
-  return static_cast<double>(service_time->count()) /
-         static_cast<double>(baseline.fastest->count());
-}
-
-double InstanceDirectory::failureFactor(const KnownInstance& instance,
-                                        const ServiceBaseline& baseline, TimePoint now) {
-  const std::uint32_t failed = instance.load.failed_permille;
-  const std::uint32_t ordinary = baseline.median_failed_permille;
-  if (failed <= ordinary || !hasRecentLoad(instance, now)) {
-    return 1;
-  }
-  return 1 + kFailedShareWeight * (failed - ordinary) / kThousandths;
-}
-
-double InstanceDirectory::cost(const KnownInstance& instance, const std::string& route,
-                               const ServiceBaseline& baseline, TimePoint now) {
-  const double utilized = utilization(instance, now);
-  const double slowness_factor = slowness(instance, route, baseline, now);
-  double cost = kIdleCost + std::min(utilized, 1.0);
-  cost *= std::max(1.0, slowness_factor / kOrdinarySpeedRatio);
-  cost *= instance.record.zone == options_.zone ? ownZoneFactor(utilized) : 1.0;
-  cost += std::max(utilized - 1, 0.0) * slowness_factor;
-  cost *= failureFactor(instance, baseline, now);
-  cost += instance.refused_until > now ? kRefusedCost : 0;
-  cost += instance.record.state == InstanceState::kStopping ? kStoppingCost : 0;
-  const bool unreachable = instance.unreachable_until > now || instance.liveness.is_silent();
-  cost += unreachable ? kUnreachableCost : 0;
-  return cost + random_.uniform() * kTieBreak;
-}
-
 KnownInstance* InstanceDirectory::choose(const std::string& service, const std::string& route,
                                          const std::set<std::string>& excluded, TimePoint now) {
   const auto found = by_service_.find(service);
@@ -244,17 +94,7 @@
       candidates_.push_back(instance);
     }
   }
-  const ServiceBaseline baseline = baselineOfCandidates(route, now);
-  KnownInstance* best = nullptr;
-  double best_cost = 0;
-  for (KnownInstance* candidate : candidates_) {
-    const double candidate_cost = cost(*candidate, route, baseline, now);
-    if (best == nullptr || candidate_cost < best_cost) {
-      best = candidate;
-      best_cost = candidate_cost;
-    }
-  }
-  return best;
+  return ramppond::choose(policy_, candidates_, route, now);
 }
 
 void InstanceDirectory::onSent(KnownInstance& instance, TimePoint now) {
