Proxy: placement by expected completion behind the setting placement

Sends the load queries as pings whose failure says nothing about the peer, drops a result if the server was replaced, reads Ramppond-Slowdown, logs the event placement once a second.

--- a/daemon/proxy/forwarded_retry.cc
+++ b/daemon/proxy/forwarded_retry.cc
@@ -53,6 +53,7 @@
       head_for_peer({exchange_->request(), params_, history_, instance, digest_,
                      context_.api.headers().deadline_ms, now - params_.received, timeLeft()});
   context_.directory.onSent(instance, now);
+  context_.placement.on_sent(instance);
   context_.attempting.insert(this);
   attempt_.emplace(context_.loop, instance);
   attempt_->send(context_.peers.pool_for(instance.record.proxy_address), std::move(head), body_,
--- /dev/null
+++ b/daemon/proxy/load_queries.h
@@ -0,0 +1,45 @@
+// Carries out the load queries that placement by expected completion asks for, and logs what that
+// placement does.
+//
+// Applies the decisions of core/placement/expected_completion.h. Relies on a directory and pools
+// that outlive it. Owns the last query to each peer. Does nothing while another placement is
+// selected. Used on the event loop's thread.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/placement/instance_directory.h"
+#include "core/placement/placement_kind.h"
+#include "daemon/proxy/peer_ping.h"
+#include "daemon/proxy/peer_pools.h"
+
+namespace ramppond {
+
+class load_queries {
+ public:
+  /// `zone`: of this proxy.
+  load_queries(InstanceDirectory& directory, peer_pools& pools, placement_kind placement,
+               std::string zone);
+
+  /// Must be called when a request is sent to `chosen`, after the directory has chosen it.
+  void on_sent(const KnownInstance& chosen);
+
+  /// Logs the event `placement` if requests were sent since the last call. Call once a second.
+  void log();
+
+ private:
+  InstanceDirectory& directory;
+  peer_pools& pools;
+  bool active;
+  std::string zone;
+  std::uint64_t requests = 0;   // since the last log line, attempts included
+  std::uint64_t left_zone = 0;  // of requests
+  std::uint64_t queries = 0;    // since the last log line
+  // By address. Kept until the next one, since the pool does not keep its handler alive.
+  std::map<std::string, std::shared_ptr<peer_ping>> last_queries;
+};
+
+}  // namespace ramppond
--- a/daemon/proxy/peer_headers.cc
+++ b/daemon/proxy/peer_headers.cc
@@ -129,6 +129,20 @@
                    static_cast<double>(demand) / kThousand};
 }
 
+std::optional<std::uint32_t> parseSlowdown(const std::string* text) {
+  constexpr std::uint64_t kMaxPercent = 100000;
+  if (text == nullptr || text->empty() ||
+      std::isdigit(static_cast<unsigned char>((*text)[0])) == 0) {
+    return std::nullopt;
+  }
+  char* end = nullptr;
+  const std::uint64_t percent = std::strtoull(text->c_str(), &end, 10);
+  if (*end != '\0' || percent == 0) {
+    return std::nullopt;
+  }
+  return static_cast<std::uint32_t>(std::min(percent, kMaxPercent));
+}
+
 std::string formatRoot(const request_root& root) {
   return std::to_string(root.rank) + (root.repeatable ? "/1/" : "/0/") + encodeCaller(root.caller);
 }
--- a/daemon/proxy/peer_ping.cc
+++ b/daemon/proxy/peer_ping.cc
@@ -5,14 +5,14 @@
 
 namespace ramppond {
 
-auto peer_ping::send(HttpClientPool& pool, InstanceDirectory& directory, KnownInstance& instance)
-    -> std::shared_ptr<peer_ping> {
+auto peer_ping::send(HttpClientPool& pool, InstanceDirectory& directory, KnownInstance& instance,
+                     ping_purpose purpose) -> std::shared_ptr<peer_ping> {
   auto head = HttpHead();
   head.method = "GET";
   head.target = "/";
   head.fields.push_back({"Host", instance.record.proxy_address});
   head.fields.push_back({std::string(kPeerPing), "1"});
-  auto ping = std::make_shared<peer_ping>(directory, instance);
+  auto ping = std::make_shared<peer_ping>(directory, instance, purpose);
   pool.start(head, BodyFraming::kNone, "", true, ping);
   return ping;
 }
@@ -20,13 +20,19 @@
 void peer_ping::onResponseHead(HttpHead head) {
   const auto now = EventLoop::now();
   this->directory.onPingAnswered(this->instance, now);
-  if (const auto load = parseLoad(head.find(kPeerLoad))) {
+  const bool replaced = this->purpose == ping_purpose::load_query &&
+                        this->instance.record.server_incarnation != this->incarnation;
+  auto load = parseLoad(head.find(kPeerLoad));
+  if (load && !replaced) {
+    load->slowdown_percent = parseSlowdown(head.find(kPeerSlowdown));
     this->directory.onLoad(this->instance, "", *load, now);
   }
 }
 
 void peer_ping::onRequestFailed(ClientFailure /*failure*/) {
-  this->instance.liveness.on_ping_failed();
+  if (this->purpose == ping_purpose::liveness) {
+    this->instance.liveness.on_ping_failed();
+  }
 }
 
 auto is_ping(const HttpHead& request) -> bool {
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -28,13 +28,14 @@
       random(seed),
       lease(operating_bounds.revocation),
       quotas(operating_bounds.quota, seed),
-      directory({settings.zone, seed}),
+      directory({settings.zone, seed, settings.placement}),
       own(event_loop, serverPoolOptions(settings, external),
           draining_admission_time(bounds.drain_timeout)),
       guard(*this),
       peers(event_loop, external.headers().request_id),
       budgets(bounds.retry_ratio, bounds.retry_extra),
       monitor(directory, peers, attempting, counters),
+      placement(directory, peers, settings.placement, settings.zone),
       waiting(event_loop, own.admission()) {
   own.on_gone = [this](const std::string& incarnation) { guard.on_server_gone(incarnation); };
   if (settings.max_descriptors > 0) {
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -25,6 +25,7 @@
 #include "core/tenants/tenant_rank.h"
 #include "core/traffic/traffic_configuration.h"
 #include "daemon/proxy/crash_guard.h"
+#include "daemon/proxy/load_queries.h"
 #include "daemon/proxy/own_server.h"
 #include "daemon/proxy/peer_monitor.h"
 #include "daemon/proxy/peer_pools.h"
@@ -89,6 +90,7 @@
   retry_budgets budgets;
   std::set<ForwardedRequest*> attempting;  ///< Requests with an attempt in flight.
   peer_monitor monitor;
+  load_queries placement;
   waiting_requests waiting;
   std::function<void()> on_tenant_surge;
   /// When a request that originated here last ended without success.
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -246,6 +246,7 @@
   channels_.closeUnusedSince(EventLoop::now() - kMemberConnectionIdle);
   context_.own.connections().sweep();
   context_.peers.sweep();
+  context_.placement.log();
   rereadSettings(false);
   seconds_ += 1;
   context_.budgets.set_fleet_size(context_.directory.size(), seconds(seconds_));
--- a/tests/daemon/proxy/peer_headers_test.cc
+++ b/tests/daemon/proxy/peer_headers_test.cc
@@ -20,6 +20,17 @@
   EXPECT_DOUBLE_EQ(parsed->shed.value, 1.25);
 }
 
+TEST(peer_headers, slowdown_is_a_bounded_number_of_percent) {
+  const std::string slowed = "250";
+  EXPECT_EQ(parseSlowdown(&slowed), 250U);
+  const std::string huge = "99999999999999999999999";
+  EXPECT_EQ(parseSlowdown(&huge), 100000U);
+  EXPECT_FALSE(parseSlowdown(nullptr));
+  for (const std::string text : {"", "0", "-3", "x", "250x", "2,5", " 250"}) {
+    EXPECT_FALSE(parseSlowdown(&text)) << text;
+  }
+}
+
 TEST(peer_headers, overload_round_trips) {
   const std::string text = formatOverload({{"records", {0.42}}, {"desk", {2.5}}});
   EXPECT_EQ(text, "records=420,desk=2500");
--- a/tests/platform/fake_platform.cc
+++ b/tests/platform/fake_platform.cc
@@ -372,7 +372,7 @@
   for (int seed = 0; seed < kControlMachines; ++seed) {
     file << (seed == 0 ? "\"" : ",\"") << controlHost(seed) << ":" << ports.operators << "\"";
   }
-  file << "]\nbounds = " << tomlList(bounds) << "\n";
+  file << "]\nbounds = " << tomlList(bounds) << "\n" << proxy_settings;
   file.close();
   proxies[static_cast<std::size_t>(machine)] =
       std::make_unique<Program>(RAMPPOND_PROXY, path, folder + "/log");
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -170,6 +170,8 @@
 
   /// Bounds (NAME=VALUE each) in the settings of processes that are started from now on.
   std::vector<std::string> bounds = {"drain_timeout_s=2", "grace_s=6"};
+  /// Further lines of the settings of proxies that are started from now on.
+  std::string proxy_settings;
 
   EventLoop loop;
   Ports ports;
