Load queries: one unanswered query per peer, and the named rate is kept

A peer that is paused accepts connections and answers nothing, so each further query would hold a connection. An answer that took longer than 100 ms was discarded by the next query.

Answers to pings carry no rate, so a load query removed the rate that the server had named; liveness pings are unchanged.

--- a/daemon/proxy/load_queries.cc
+++ b/daemon/proxy/load_queries.cc
@@ -22,9 +22,13 @@
   this->left_zone += chosen.record.zone == this->zone ? 0 : 1;
   for (auto* instance : this->directory.takeLoadQueries()) {
     const auto& address = instance->record.proxy_address;
+    auto& last = this->last_queries[address];
+    if (last != nullptr && !last->has_ended()) {
+      continue;
+    }
     this->queries += 1;
-    this->last_queries[address] = peer_ping::send(this->pools.pool_for(address), this->directory,
-                                                  *instance, ping_purpose::load_query);
+    last = peer_ping::send(this->pools.pool_for(address), this->directory, *instance,
+                           ping_purpose::load_query);
   }
 }
 
--- a/daemon/proxy/load_queries.h
+++ b/daemon/proxy/load_queries.h
@@ -38,7 +38,9 @@
   std::uint64_t requests = 0;   // since the last log line, attempts included
   std::uint64_t left_zone = 0;  // of requests
   std::uint64_t queries = 0;    // since the last log line
-  // By address. Kept until the next one, since the pool does not keep its handler alive.
+  // By address. Kept until the next one, since the pool does not keep its handler alive. A peer is
+  // not queried again before its last query has ended: a paused process answers none, and each
+  // would hold a connection.
   std::map<std::string, std::shared_ptr<peer_ping>> last_queries;
 };
 
--- a/daemon/proxy/peer_ping.cc
+++ b/daemon/proxy/peer_ping.cc
@@ -25,11 +25,16 @@
   auto load = parseLoad(head.find(kPeerLoad));
   if (load && !replaced) {
     load->slowdown_percent = parseSlowdown(head.find(kPeerSlowdown));
+    if (this->purpose == ping_purpose::load_query) {
+      // Answers to pings carry no rate; the one that the server named in a response still applies.
+      load->rate = this->instance.rate();
+    }
     this->directory.onLoad(this->instance, "", *load, now);
   }
 }
 
 void peer_ping::onRequestFailed(ClientFailure /*failure*/) {
+  this->ended = true;
   if (this->purpose == ping_purpose::liveness) {
     this->instance.liveness.on_ping_failed();
   }
--- a/daemon/proxy/peer_ping.h
+++ b/daemon/proxy/peer_ping.h
@@ -25,7 +25,8 @@
   static auto send(HttpClientPool& pool, InstanceDirectory& directory, KnownInstance& instance,
                    ping_purpose purpose = ping_purpose::liveness) -> std::shared_ptr<peer_ping>;
 
-  peer_ping(InstanceDirectory& directory, KnownInstance& instance, ping_purpose purpose)
+  peer_ping(InstanceDirectory& directory, KnownInstance& instance,
+            ping_purpose purpose = ping_purpose::liveness)
       : directory(directory),
         instance(instance),
         purpose(purpose),
@@ -33,14 +34,18 @@
 
   void onResponseHead(HttpHead head) override;
   void onResponseBody(std::string_view /*data*/) override {}
-  void onResponseEnd() override {}
+  void onResponseEnd() override { this->ended = true; }
   void onRequestFailed(ClientFailure failure) override;
 
+  /// Whether the ping was answered or has failed.
+  [[nodiscard]] auto has_ended() const -> bool { return this->ended; }
+
  private:
   InstanceDirectory& directory;
   KnownInstance& instance;
   ping_purpose purpose;
   std::string incarnation;  // of the server when the ping was sent
+  bool ended = false;
 };
 
 [[nodiscard]] auto is_ping(const HttpHead& request) -> bool;
--- a/tests/daemon/proxy/load_query_test.cc
+++ b/tests/daemon/proxy/load_query_test.cc
@@ -1,8 +1,8 @@
-#include "daemon/proxy/peer_ping.h"
-
 #include <gtest/gtest.h>
 
+#include "daemon/proxy/load_queries.h"
 #include "daemon/proxy/peer_headers.h"
+#include "daemon/proxy/peer_ping.h"
 
 namespace ramppond {
 namespace {
@@ -65,5 +65,37 @@
   EXPECT_EQ(this->directory.checkLiveness(sent + seconds(2)).silent.size(), 1U);
 }
 
+// Guards against a named rate that is forgotten, so that requests beyond it are sent: answers to
+// pings do not carry it.
+TEST_F(load_query_test, response_keeps_the_rate_that_the_server_named) {
+  auto load = ServerLoad();
+  load.rate = rate_load{{5}, 0.5};
+  this->directory.onLoad(*this->instance, "route", load, EventLoop::now());
+  auto query = peer_ping(this->directory, *this->instance, ping_purpose::load_query);
+  query.onResponseHead(response());
+  ASSERT_TRUE(this->instance->rate());
+  EXPECT_DOUBLE_EQ(this->instance->rate()->limit.per_second, 5);
+}
+
+// Guards against connections that pile up towards a paused process: it accepts them and answers
+// nothing.
+TEST_F(load_query_test, no_second_query_while_the_last_one_is_unanswered) {
+  auto loop = EventLoop();  // Not run, so that nothing is answered.
+  auto pools = peer_pools(loop, "Request-Id");
+  auto queries = load_queries(this->directory, pools, placement_kind::expected_completion, "zone");
+  auto load = ServerLoad();
+  load.limit = 20;
+  load.under_way = 20;
+  load.service_time = milliseconds(30);
+  const auto reported = EventLoop::now();
+  this->directory.onLoad(*this->instance, "route", load, reported);
+  for (const auto age : {milliseconds(200), milliseconds(400)}) {
+    ASSERT_NE(this->directory.choose("scarce", "route", {}, reported + age), nullptr);
+    EXPECT_EQ(this->instance->load_queried, reported + age);
+    queries.on_sent(*this->instance);
+    EXPECT_EQ(pools.pool_for("peer").open(), 1U);
+  }
+}
+
 }  // namespace
 }  // namespace ramppond
