--- a/core/placement/expected_completion.cc
+++ b/core/placement/expected_completion.cc
@@ -11,8 +11,8 @@
 namespace {
 
 // Weight of the wait for a slot against the service time. A request that waits also delays those
-// behind it. With 1, fast servers are given queues until they are as slow as the slowest ones: the
-// mean time to completion in placement_fleet, "even" with 88 proxies, was 141 ms in place of 89 ms.
+// behind it. With a lower weight, fast servers are given queues until they are as slow as the
+// slowest ones.
 constexpr double wait_weight = 8;
 // A load report counts less the older it is, and after this time not at all: queues change within a
 // few service times.
@@ -21,21 +21,18 @@
 constexpr auto mean_valid_us = static_cast<double>(load_report_valid.count());
 // The same for a reported slowdown, which changes many times a second.
 constexpr double slowdown_valid_us = 500e3;
-// Age and number of own requests since, up to which a report is fresh. With 400 ms, p99 with slowed
-// machines and 300 proxies was 432 ms in place of 381 ms; without a limit of requests, p99 with
-// alternating zones and 88 proxies was 287 ms in place of 260 ms.
+// A report is fresh below this age and this number of own requests since. Older ones miss slowdowns
+// that have begun or ended; without a limit of requests, all of them follow one report.
 constexpr double fresh_us = 100e3;
 constexpr std::uint32_t fresh_requests = 3;
-// With this many fresh reports no load query is sent. Without this, "even" took 0.75 (88 proxies)
-// to 1.30 (300 proxies) queries per request in place of 0.22 to 0.81, with the same times to
-// completion.
+// With this many fresh reports no load query is sent: more of them hardly improve the choice.
 constexpr std::size_t enough_fresh = 4;
 constexpr std::size_t max_queries = 2;  // per request
 // Below this utilization a service is lightly used: nearly every server has a free slot.
 constexpr double light_utilization = 0.6;
 // Round trip between zones, and the margin as a multiple of the service time; since the wait is
-// weighted, a wait longer by an eighth of it suffices to leave the zone. With half the margin, the
-// share of requests that leave a zone without need doubled ("even": 0.072 in place of 0.031).
+// weighted, a wait longer by an eighth of it suffices to leave the zone. With a lower margin, more
+// requests leave it without need.
 constexpr double zone_round_trip_us = 2e3;
 constexpr double zone_margin = 1;
 // No second load query is sent to a server within this time; the first is answered or lost by then.
@@ -151,9 +148,8 @@
     }
     auto found = estimate();
     found.instance = candidate;
-    if (const auto time = recent_service_time(*candidate, request.route, request.now)) {
-      found.service =
-          std::clamp(static_cast<double>(time->count()), min_service_us, max_service_us);
+    if (const auto time = recent_usual_service_us(*candidate, request.route, request.now)) {
+      found.service = std::clamp(*time, min_service_us, max_service_us);
       service.add(found.service);
     }
     auto& group = candidate->record.zone == this->zone ? this->near : this->far;
--- a/core/placement/instance_directory.cc
+++ b/core/placement/instance_directory.cc
@@ -21,16 +21,17 @@
 // Maximum number of routes with a known service time at one server. Bounds memory.
 constexpr std::size_t kMaximumRoutes = 64;
 
-// Larger reported slowdowns count as this, so that a wrong value excludes a server no longer than a
-// server with a long queue.
-constexpr std::uint32_t kMaximumSlowdownPercent = 2000;
+// Bounds of the slowdown factor. The proxy beside a server multiplies reported service times by a
+// factor within the same bounds, so with other ones the usual time could not be computed from them.
+constexpr double kMinimumSlowdown = 0.5;
+constexpr double kMaximumSlowdown = 10;
 constexpr double kPercent = 100;
 
 std::optional<double> slowdownOf(const ServerLoad& load) {
   if (!load.slowdown_percent || *load.slowdown_percent == 0) {
     return std::nullopt;
   }
-  return std::min(*load.slowdown_percent, kMaximumSlowdownPercent) / kPercent;
+  return std::clamp(*load.slowdown_percent / kPercent, kMinimumSlowdown, kMaximumSlowdown);
 }
 
 placement_policy makePolicy(InstanceDirectoryOptions options) {
@@ -133,10 +134,11 @@
 
 void InstanceDirectory::onLoad(KnownInstance& instance, const std::string& route,
                                const ServerLoad& load, TimePoint now) {
+  instance.slowdown = slowdownOf(load);
   const bool known = instance.service_times.count(route) > 0;
   if (load.service_time > Duration(0) &&
       (known || instance.service_times.size() < kMaximumRoutes)) {
-    instance.service_times[route] = {load.service_time, now};
+    instance.service_times[route] = {load.service_time, now, instance.slowdown.value_or(1)};
   }
   instance.load = load;
   instance.named_rate.reset();
@@ -144,7 +146,6 @@
     instance.named_rate = {instance.record.server_incarnation, *load.rate};
   }
   instance.load_reported = now;
-  instance.slowdown = slowdownOf(load);
   instance.sent_since_report = 0;
 }
 
--- a/core/placement/known_instance.h
+++ b/core/placement/known_instance.h
@@ -27,8 +27,8 @@
   std::uint32_t failed_permille = 0;   ///< Share of recent requests that failed or got no answer.
   shed_level shed = {};                ///< Work to shed for the server.
   std::optional<rate_load> rate = {};  ///< Set if the server names a rate limit.
-  /// Duration of work on the server's machine in percent of the usual one. If set, `service_time`
-  /// is at usual speed.
+  /// Present duration of work on its machine in percent of the usual duration, if known.
+  /// `service_time` includes it.
   std::optional<std::uint32_t> slowdown_percent = {};
 };
 
@@ -37,13 +37,14 @@
   InstanceRecord record;
   ServerLoad load;
   TimePoint load_reported{0};
-  /// Factor on the usual service time, as reported at `load_reported`; unknown if not reported
-  /// then.
+  /// Factor on the usual service time, as reported at `load_reported` and clamped; unknown if not
+  /// reported then.
   std::optional<double> slowdown;
   TimePoint load_queried = -seconds(1);  ///< When a load query to it was last planned.
   struct ReportedTime {
     Duration time{0};
     TimePoint reported{0};
+    double slowdown = 1;  ///< Factor that `time` includes.
   };
   std::map<std::string, ReportedTime> service_times;  ///< By route.
   std::uint32_t sent = 0;                             ///< Own requests in flight to it.
--- a/core/placement/reported_load.cc
+++ b/core/placement/reported_load.cc
@@ -20,6 +20,15 @@
 // more again.
 constexpr double maximum_demand = 4;
 
+// nullptr if the service time was never reported or too long ago.
+auto recent_report(const KnownInstance& instance, const std::string& route, TimePoint now)
+    -> const KnownInstance::ReportedTime* {
+  const auto found = instance.service_times.find(route);
+  const bool recent =
+      found != instance.service_times.end() && now - found->second.reported < load_report_valid;
+  return recent ? &found->second : nullptr;
+}
+
 }  // namespace
 
 auto has_recent_load(const KnownInstance& instance, TimePoint now) -> bool {
@@ -28,10 +37,16 @@
 
 auto recent_service_time(const KnownInstance& instance, const std::string& route, TimePoint now)
     -> std::optional<Duration> {
-  const auto found = instance.service_times.find(route);
-  const bool recent =
-      found != instance.service_times.end() && now - found->second.reported < load_report_valid;
-  return recent ? std::optional<Duration>(found->second.time) : std::nullopt;
+  const auto* const report = recent_report(instance, route, now);
+  return report != nullptr ? std::optional<Duration>(report->time) : std::nullopt;
+}
+
+auto recent_usual_service_us(const KnownInstance& instance, const std::string& route, TimePoint now)
+    -> std::optional<double> {
+  const auto* const report = recent_report(instance, route, now);
+  return report != nullptr
+             ? std::optional<double>(static_cast<double>(report->time.count()) / report->slowdown)
+             : std::nullopt;
 }
 
 auto slots_of(const KnownInstance& instance) -> double {
--- a/core/placement/reported_load.h
+++ b/core/placement/reported_load.h
@@ -27,6 +27,10 @@
 [[nodiscard]] auto recent_service_time(const KnownInstance& instance, const std::string& route,
                                        TimePoint now) -> std::optional<Duration>;
 
+/// The same without the slowdown of the machine that the reported time includes, in microseconds.
+[[nodiscard]] auto recent_usual_service_us(const KnownInstance& instance, const std::string& route,
+                                           TimePoint now) -> std::optional<double>;
+
 /// Number of slots: as reported, else as recorded, else an assumed minimum.
 [[nodiscard]] auto slots_of(const KnownInstance& instance) -> double;
 
--- a/tests/core/placement/expected_completion_test.cc
+++ b/tests/core/placement/expected_completion_test.cc
@@ -144,6 +144,12 @@
   load.slowdown_percent = percent;
   return load;
 }
+/// The report of a server whose requests take `usual_time` at usual speed.
+auto slowed(std::uint32_t percent) -> ServerLoad {
+  auto load = load_of(slots, 0, usual_time * percent / 100);
+  load.slowdown_percent = percent;
+  return load;
+}
 auto with_limit(std::uint32_t limit) -> ServerLoad {
   auto load = full;
   load.limit = limit;
@@ -155,6 +161,7 @@
     table, wrong_value_test,
     testing::Values(wrong_value{"slowdown_zero", with_slowdown(0)},
                     wrong_value{"slowdown_huge", with_slowdown(huge)},
+                    wrong_value{"slowdown_tiny", with_slowdown(1)},
                     wrong_value{"limit_zero", with_limit(0)},
                     wrong_value{"limit_huge", with_limit(huge)},
                     wrong_value{"service_time_tiny", load_of(slots, 0, Duration(1))},
@@ -187,13 +194,56 @@
 }
 
 TEST_F(expected_completion_test, slowed_server_gets_fewer_requests_until_its_report_is_old) {
-  this->report_all(with_slowdown(100));
-  this->report("a1", with_slowdown(400));
+  this->report_all(slowed(100));
+  this->report("a1", slowed(400));
   EXPECT_LT(this->shares()["a1"], 0.05);
   this->now += milliseconds(600);
   EXPECT_NEAR(this->shares()["a1"], 0.25, 0.1);
 }
 
+struct slowdown_row {
+  const char* name;
+  std::uint32_t percent;  // in the report of the service time
+  Duration service_time;
+  std::uint32_t later_percent;  // in the response to a load query
+  double expected_share;        // of the own zone; 1 of 4 servers is slowed
+};
+
+void PrintTo(const slowdown_row& row, std::ostream* out) {
+  *out << row.name;
+}
+
+class slowdown_test : public expected_completion_test,
+                      public testing::WithParamInterface<slowdown_row> {};
+
+// Guards against a slowdown that is counted twice, since reported service times include it, and
+// against a service time whose slowdown is taken from another report.
+TEST_P(slowdown_test, counts_once) {
+  this->report_all(slowed(100));
+  auto slow = slowed(GetParam().percent);
+  slow.service_time = GetParam().service_time;
+  this->report("a1", slow);
+  auto later = slowed(GetParam().later_percent);
+  later.service_time = Duration(0);
+  this->directory.onLoad(this->find("a1"), "", later, this->now);
+  // No report is fresh, so servers are drawn in proportion to their speed.
+  this->now += milliseconds(100);
+  EXPECT_NEAR(this->shares()["a1"], GetParam().expected_share, 0.04);
+}
+
+// After 100 ms, a fifth less of the slowdown counts: 2 counts as 1.8.
+constexpr double slowed_share = 1 / 1.8 / (3 + 1 / 1.8);
+
+INSTANTIATE_TEST_SUITE_P(
+    table, slowdown_test,
+    testing::Values(slowdown_row{"usual_speed", 100, usual_time, 100, 0.25},
+                    slowdown_row{"lasts", 200, 2 * usual_time, 200, slowed_share},
+                    slowdown_row{"has_ended", 200, 2 * usual_time, 100, 0.25},
+                    slowdown_row{"has_begun", 100, usual_time, 200, slowed_share},
+                    slowdown_row{"clamped_like_the_service_time", 5000, 10 * usual_time, 100, 0.25},
+                    slowdown_row{"clamped_below", 1, usual_time / 2, 100, 0.25}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 TEST_F(expected_completion_test, draws_in_proportion_to_speed_when_no_report_is_fresh) {
   this->report_all(full);
   this->report("a1", load_of(slots, 0, 3 * usual_time));
--- a/tests/core/placement/placement_fleet_test.cc
+++ b/tests/core/placement/placement_fleet_test.cc
@@ -254,7 +254,8 @@
     load.limit = slots;
     load.under_way = server.running;
     load.waiting = static_cast<std::uint32_t>(server.waiting.size());
-    load.service_time = Duration(static_cast<std::int64_t>(service_us / server.speed));
+    load.service_time =
+        Duration(static_cast<std::int64_t>(service_us / server.speed * this->slowdown(number)));
     load.slowdown_percent = static_cast<std::uint32_t>(this->slowdown(number) * 100);
     return load;
   }
