Proxy: return times of refused clients by the return schedule

While features.return_times is active, a refusal for lack of capacity (overload of a service; not run, no server or deadline while the service reports an overload) gets its Retry-After from the schedule, and a returning client is recognised before shedding. Other refusals, calls of the local server and a proxy in a planned stop follow the current rule. Writes the event return_times at most once a second.

--- a/daemon/proxy/forwarded_answer.cc
+++ b/daemon/proxy/forwarded_answer.cc
@@ -147,6 +147,8 @@
   const auto* passed = std::get_if<streaming_answer>(&attempt_->answer);
   if (passed != nullptr && passed->status >= kServerError) {
     context_.last_failed_forward = EventLoop::now();
+  } else {
+    context_.returns.on_served(params_, EventLoop::now());
   }
   done();
   exchange_->finish();
@@ -169,6 +171,11 @@
 }
 
 std::optional<Duration> ForwardedRequest::retryAfter(const own_answer& answer) {
+  const auto planned =
+      context_.returns.on_refused(params_, exchange_->request(), answer, EventLoop::now());
+  if (planned) {
+    return planned;
+  }
   const Duration goal = params_.route == nullptr ? Duration(0) : params_.route->goal;
   const retry_after_verdict verdict = retry_after_of(answer, goal);
   if (const auto* stated = std::get_if<exact_retry_after>(&verdict)) {
--- a/daemon/proxy/forwarded_params.cc
+++ b/daemon/proxy/forwarded_params.cc
@@ -5,6 +5,7 @@
 #include "core/admission/patience.h"
 #include "core/admission/shedding.h"
 #include "core/answers/front_shedding.h"
+#include "core/answers/return_shedding.h"
 #include "core/tenants/identity.h"
 #include "daemon/proxy/peer_headers.h"
 
@@ -22,9 +23,10 @@
   }
   const auto requested_time = parseMilliseconds(head.find(context.api.headers().deadline_ms))
                                   .value_or(this->route->timeout);
+  this->client_deadline = this->received + requested_time;
   this->deadline = this->received + std::min(requested_time, this->route->timeout);
   this->service = chooseService(*this->route, context.random.uniform());
-  return this->shed(context, requested_time);
+  return this->shed(context, head);
 }
 
 auto forwarded_params::patience() const -> Duration {
@@ -100,9 +102,9 @@
       request_root{this->rank, this->may_run_twice(), caller_name(tenant_name, this->route->name)};
 }
 
-auto forwarded_params::shed(ProxyContext& context, Duration requested_time)
+auto forwarded_params::shed(ProxyContext& context, const HttpHead& head)
     -> std::optional<own_answer> {
-  this->attributed = context.calls.on_request(this->route->name, this->received + requested_time);
+  this->attributed = context.calls.on_request(this->route->name, this->client_deadline);
   this->is_call = is_call_of_server(this->attributed.origin, this->tenant != nullptr);
   if (context.features.needs_roots()) {
     this->resolve_root();
@@ -110,13 +112,14 @@
   if (this->is_call) {
     return std::nullopt;
   }
+  const auto arrival = context.returns.on_arrival(*this, head);
   const auto overloads = context.overload.of(this->route->name, this->received);
   if (overloads.empty()) {
     return std::nullopt;
   }
   const auto ranks = less_urgent_ranks(this->rank, this->traffic->configuration.routes,
                                        this->traffic->ranks, context.calls);
-  const auto* overload = refusing_overload(overloads, ranks, context.random);
+  const auto* overload = refusing_overload_of(arrival, overloads, ranks, context.random);
   if (overload == nullptr) {
     return std::nullopt;
   }
--- a/daemon/proxy/forwarded_params.h
+++ b/daemon/proxy/forwarded_params.h
@@ -25,6 +25,8 @@
   std::string service;            // chosen at random by the weights of the route's split
   TimePoint received{0};
   TimePoint deadline{0};
+  /// When the client stops waiting; not limited by the route.
+  TimePoint client_deadline{0};
   bool is_call = false;  // a call of the local server, or possibly one
   attributed_request attributed;
   std::optional<request_root> root;  // of its call tree; absent if unknown or not in use
@@ -44,7 +46,7 @@
   auto resolve_tenant(ProxyContext& context, HttpHead& head) -> std::optional<own_answer>;
   auto check_quota(ProxyContext& context) -> std::optional<own_answer>;
   void resolve_root();
-  auto shed(ProxyContext& context, Duration requested_time) -> std::optional<own_answer>;
+  auto shed(ProxyContext& context, const HttpHead& head) -> std::optional<own_answer>;
 };
 
 }  // namespace ramppond
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -34,6 +34,7 @@
       guard(*this),
       peers(event_loop, external.headers().request_id),
       budgets(bounds.retry_ratio, bounds.retry_extra),
+      returns(*this),
       monitor(directory, peers, attempting, counters),
       waiting(event_loop, own.admission()) {
   own.on_gone = [this](const std::string& incarnation) { guard.on_server_gone(incarnation); };
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -30,6 +30,7 @@
 #include "daemon/proxy/peer_pools.h"
 #include "daemon/proxy/proxy_counters.h"
 #include "daemon/proxy/proxy_settings.h"
+#include "daemon/proxy/return_times.h"
 #include "daemon/proxy/waiting_requests.h"
 #include "net/stream/event_loop.h"
 #include "net/stream/http_client.h"
@@ -87,6 +88,7 @@
   crash_guard guard;             ///< Guards the local server.
   peer_pools peers;
   retry_budgets budgets;
+  return_times returns;
   std::set<ForwardedRequest*> attempting;  ///< Requests with an attempt in flight.
   peer_monitor monitor;
   waiting_requests waiting;
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -96,7 +96,10 @@
       liveness_timer_(loop_) {
   context_.own.on_changed = [this] { publishOwnRecord(); };
   context_.on_tenant_surge = [this] { tenant_reports_.report_soon(); };
-  stop_.on_begun = [this] { publishOwnRecord(); };
+  stop_.on_begun = [this] {
+    context_.returns.stop();
+    publishOwnRecord();
+  };
   stop_.on_checked = [this](bool refuse_peers) { context_.refuse_peers = refuse_peers; };
   stop_.on_ended = [this](const stop_load& remaining) { onStopped(remaining); };
   context_.guard.on_evidence = [this](const instance_evidence& evidence) {
@@ -247,6 +250,7 @@
   context_.own.connections().sweep();
   context_.peers.sweep();
   rereadSettings(false);
+  context_.returns.log(EventLoop::now());
   seconds_ += 1;
   context_.budgets.set_fleet_size(context_.directory.size(), seconds(seconds_));
   if (seconds_ % kCounterLogSeconds == 0) {
