Return schedule: bound the entries of one request, the time a client is told and a learned run time

A client that sends its whole deadline again with every request could hold all reservations, and each request with the same digest was compared with all of them. A client with a deadline of an hour was told 20 minutes. One slow transfer raised the smoothed run time beyond all deadlines.

--- a/core/answers/return_schedule.cc
+++ b/core/answers/return_schedule.cc
@@ -8,9 +8,8 @@
 namespace ramppond {
 namespace {
 
-// Part of the served rate that is reserved. In return_load_test, with half of it fewer clients are
-// served at many proxies than by the current rule (39645, 39896), since too few return after the
-// overload has ended; with all of it fewer are served within their goal (32548, 32693).
+// Part of the served rate that is reserved. With half of it too few clients return after the
+// overload has ended; with all of it fewer are served within their goal.
 constexpr double reserved_part = 0.9;
 // Time constant of the served rate. A proxy serves a few requests a second of a service: with a
 // shorter time the rate is noise, with a longer one it follows a change of the capacity too late.
@@ -25,7 +24,8 @@
 constexpr std::int64_t usable_divisor = 32;
 // Clients use a Retry-After of at most this part of their remaining time.
 constexpr std::int64_t usable_part = 3;
-// Later times would be guesses: an overload seldom lasts as long without a change.
+// Later times would be guesses: an overload seldom lasts as long without a change. It also bounds
+// how long a client is remembered, and the effect of one slow transfer on the smoothed run time.
 constexpr auto max_return_time = seconds(10);
 // Clients wait for whole milliseconds by clocks of their own.
 constexpr auto early_tolerance = milliseconds(10);
@@ -36,7 +36,7 @@
 // request looks like that of another client; with a longer one clients of the same page look like
 // one.
 constexpr auto deadline_tolerance = milliseconds(5);
-// Bounds memory.
+// Services times ranks; bounds memory. All are learned anew when there are more.
 constexpr auto max_capacities = std::size_t(1024);
 
 auto ratio(Duration part, Duration whole) -> double {
@@ -86,6 +86,7 @@
   auto& known = this->capacity_of(service, now);
   known.served = known.served * decay(now - known.updated) + 1;
   known.updated = now;
+  duration = std::min<Duration>(duration, max_return_time);
   const bool first = known.run_time == Duration(0);
   known.run_time =
       first ? duration : known.run_time + (duration - known.run_time) / run_time_divisor;
@@ -157,7 +158,9 @@
   }
   auto& known = this->capacity_of(service, now);
   const auto interval = interval_of(known, now);
-  const bool has_room = this->reservations.size() < max_reservations;
+  const auto of_request = this->by_client.count(client.digest);
+  const bool has_room =
+      this->reservations.size() < max_reservations && of_request < max_entries_per_request;
   if (this->stopped || !has_room || !interval || client.deadline <= now) {
     return unplanned_return{};
   }
@@ -169,8 +172,10 @@
   const auto after = return_after(drain, usable, known.usable);
   if (after > usable) {
     this->totals.refused += 1;
-    const auto told = std::max(after, unusable_time(client.deadline - now));
-    if (this->reservations.size() < max_entries_for_refused) {
+    const auto told =
+        std::min<Duration>(std::max(after, unusable_time(client.deadline - now)), max_return_time);
+    if (this->reservations.size() < max_entries_for_refused &&
+        of_request < max_entries_per_request / 2) {
       this->insert(now + told, {client, service, false});
     }
     return late_capacity{told};
--- a/core/answers/return_schedule.h
+++ b/core/answers/return_schedule.h
@@ -37,6 +37,11 @@
 /// that they cannot keep others from getting one.
 constexpr auto max_entries_for_refused = max_reservations / 2;
 
+/// Entries with the same digest. Bounds the cost of a request, and what a client can hold that
+/// sends its whole deadline again each time and so is not told from other clients of the same page.
+/// The current rule applies to clients beyond it.
+constexpr auto max_entries_per_request = std::size_t(64);
+
 /// The requests of one rank that need a service compete for the capacity of this rank.
 struct scarce_service {
   std::string name;
--- a/tests/core/answers/return_schedule_test.cc
+++ b/tests/core/answers/return_schedule_test.cc
@@ -247,6 +247,49 @@
   this->reserve(this->client("patient"));
 }
 
+// A client that sends its whole deadline again each time looks like a new client of the same page.
+TEST_F(return_schedule_test, entries_of_one_request_are_bounded) {
+  this->learn(1000);
+  for (std::size_t number = 0; number < max_entries_per_request * 2; ++number) {
+    this->refuse({"resent", this->now + seconds(30) + milliseconds(6) * number});
+  }
+  EXPECT_EQ(this->returns.counts().made, max_entries_per_request);
+  this->reserve(this->client("other"));
+}
+
+TEST_F(return_schedule_test, remembered_clients_of_one_page_leave_room_for_its_reservations) {
+  this->learn(10);
+  for (std::size_t number = 0; number < max_entries_per_request / 2 + 10; ++number) {
+    this->refuse({"page", this->now + milliseconds(6) * (number + 1)});
+  }
+  EXPECT_EQ(this->returns.size(), max_entries_per_request / 2);
+  this->reserve(this->client("page"));
+}
+
+// A third of the deadline of such a client is twenty minutes.
+TEST_F(return_schedule_test, told_times_are_bounded) {
+  this->learn(10);
+  int late = 0;
+  for (int number = 0; number < 200; ++number) {
+    const auto verdict = this->refuse({std::to_string(number), this->now + seconds(3600)});
+    if (const auto* told = std::get_if<late_capacity>(&verdict)) {
+      EXPECT_LE(told->after, seconds(10));
+      late += 1;
+    }
+  }
+  EXPECT_GT(late, 0);
+  this->now += seconds(11);
+  this->arrive(this->client("new"));
+  EXPECT_EQ(this->returns.size(), 0U);
+}
+
+// The answer to one client with a slow connection may take many minutes.
+TEST_F(return_schedule_test, one_slow_transfer_does_not_end_reservations) {
+  this->learn(10);
+  this->returns.on_served(scarce, seconds(3600), this->now);
+  this->reserve(this->client("a"));
+}
+
 const auto half_of_a_rank = std::vector<service_overload>{{"scarce", {0.5}}};
 const auto all_of_a_rank = std::vector<service_overload>{{"scarce", {1}}};
 const auto two_ranks = std::vector<service_overload>{{"scarce", {2}}};
