Test of return times under load: strict totals for all loads except one, one run for each load

Clients that never return have a bound on the total too. The time to the final answer was printed and not checked.

--- a/tests/core/answers/return_load_test.cc
+++ b/tests/core/answers/return_load_test.cc
@@ -79,7 +79,6 @@
   int refused_twice = 0;
   int impatient = 0;
   int impatient_served = 0;
-  double wait_s = 0;  // to the final answer, sum over all clients
 };
 
 class return_run {
@@ -250,7 +249,6 @@
     if (this->scheduled) {
       this->proxies[of.proxy].returns.on_served(scarce, run_time, this->now);
     }
-    this->counts.wait_s += std::chrono::duration<double>(this->now - of.begun).count();
     if (this->now > of.deadline) {
       return;
     }
@@ -290,7 +288,6 @@
       wait = usable;
     }
     if (of->absent || wait > usable || wait < milliseconds(50)) {
-      this->counts.wait_s += std::chrono::duration<double>(this->now - of->begun).count();
       return;
     }
     this->after(wait + between(Duration(0), milliseconds(5), this->random.uniform()),
@@ -332,7 +329,6 @@
   left.refused_twice += right.refused_twice;
   left.impatient += right.impatient;
   left.impatient_served += right.impatient_served;
-  left.wait_s += right.wait_s;
   return left;
 }
 
@@ -352,18 +348,16 @@
   }
   static void print(const char* rule, const client_counts& counts) {
     std::printf(
-        "%s: %d clients, %d served, %d in the overload, %d within the goal, %d refused twice, "
-        "%.3f s to the final answer\n",
+        "%s: %d clients, %d served, %d in the overload, %d within the goal, %d refused twice\n",
         rule, counts.clients, counts.served, counts.served_in_overload, counts.within_goal,
-        counts.refused_twice, counts.wait_s / counts.clients);
+        counts.refused_twice);
   }
 
   client_counts control;  // by the current rule
   client_counts schedule;
 };
 
-// The capacity rises or falls after reservations were made, reservations are lost with their proxy,
-// or clients never use them.
+// The capacity rises or falls after reservations were made, or they are lost with their proxy.
 const auto failures =
     testing::Values(load_case{"capacity_falls", 2.4, seconds(14), 20, 1, {1, 0.6}},
                     load_case{"capacity_rises", 2.4, seconds(14), 20, 1, {0.6, 1}},
@@ -373,45 +367,45 @@
                     load_case{"overload_at_many_proxies", 2.4, seconds(14), 60},
                     load_case{"third_of_proxies", 3 * normal_load, seconds(10), 21, 3},
                     load_case{"slow_service", normal_load, seconds(8), 20, 1, {0.55, 0.55}});
-const auto absent_clients =
-    testing::Values(load_case{"clients_never_return", 2.4, seconds(14), 20, 1, {1, 1}, 0, 0.5});
 const auto name_of = [](const auto& info) { return std::string(info.param.name); };
 
+// The requirement is for 2.4 times the capacity, and the other loads hold it too except one: at 1.3
+// times (slow_service), where either rule serves nearly all clients, the schedule serves slightly
+// fewer (design 0015, part E). Guards against a larger loss.
+constexpr double accepted_loss_at_low_overload = 0.006;
+
 class return_times_under_load : public return_load {};
 
-TEST_P(return_times_under_load, half_as_many_clients_are_refused_twice) {
+TEST_P(return_times_under_load, halve_second_refusals_and_serve_no_fewer) {
   EXPECT_LE(this->schedule.refused_twice * 2, this->control.refused_twice);
+  const double accepted = GetParam().load < 1 ? 1 - accepted_loss_at_low_overload : 1;
+  EXPECT_GE(this->schedule.served, this->control.served * accepted);
+  EXPECT_GE(this->schedule.within_goal, this->control.within_goal * accepted);
 }
 
 INSTANTIATE_TEST_SUITE_P(loads, return_times_under_load, loads, name_of);
 INSTANTIATE_TEST_SUITE_P(failures, return_times_under_load, failures, name_of);
-INSTANTIATE_TEST_SUITE_P(absent, return_times_under_load, absent_clients, name_of);
 
-// The requirement is for 2.4 times the capacity for 14 s. Under the other loads both rules serve
-// nearly all clients that can be served, and the totals differ by the random service times: 0.3
-// percent is the standard deviation of their difference over ten runs.
+// Equal totals differ by this much, since the service times are random.
 constexpr double noise = 0.006;
+// After the overload nobody is left who would return to the capacity that is idle then; by the
+// current rule some clients still are.
+constexpr double accepted_loss_after_overload = 0.015;
 
-class clients_served_under_load : public return_load {};
-
-TEST_P(clients_served_under_load, are_no_fewer) {
-  const bool required = GetParam().load > 2.3 && GetParam().speed == std::array<double, 2>{1, 1};
-  const double accepted = required ? 1 : 1 - noise;
-  EXPECT_GE(this->schedule.served, this->control.served * accepted);
-  EXPECT_GE(this->schedule.within_goal, this->control.within_goal * accepted);
-}
-
-INSTANTIATE_TEST_SUITE_P(loads, clients_served_under_load, loads, name_of);
-INSTANTIATE_TEST_SUITE_P(failures, clients_served_under_load, failures, name_of);
-
-class unused_reservations : public return_load {};
+class absent_clients : public return_load {};
 
 // Reserved capacity that is not used goes to new requests.
-TEST_P(unused_reservations, leave_no_capacity_idle) {
+TEST_P(absent_clients, leave_no_capacity_idle_during_the_overload) {
+  EXPECT_LE(this->schedule.refused_twice * 2, this->control.refused_twice);
   EXPECT_GE(this->schedule.served_in_overload, this->control.served_in_overload * (1 - noise));
+  EXPECT_GE(this->schedule.served, this->control.served * (1 - accepted_loss_after_overload));
+  EXPECT_GE(this->schedule.within_goal, this->control.within_goal);
 }
 
-INSTANTIATE_TEST_SUITE_P(absent, unused_reservations, absent_clients, name_of);
+INSTANTIATE_TEST_SUITE_P(loads, absent_clients,
+                         testing::Values(load_case{
+                             "half_never_return", 2.4, seconds(14), 20, 1, {1, 1}, 0, 0.5}),
+                         name_of);
 
 class impatient_clients : public return_load {};
 
