--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -32,6 +32,7 @@
 #include "daemon/proxy/proxy_counters.h"
 #include "daemon/proxy/proxy_settings.h"
 #include "daemon/proxy/retry_order.h"
+#include "daemon/proxy/return_times.h"
 #include "daemon/proxy/upload_buffers.h"
 #include "daemon/proxy/waiting_requests.h"
 #include "net/stream/event_loop.h"
@@ -90,7 +91,8 @@
   crash_guard guard;             ///< Guards the local server.
   peer_pools peers;
   retry_budgets budgets;
-  retry_order_totals ordered_retries;      ///< While features.retry_order is active.
+  retry_order_totals ordered_retries;  ///< While features.retry_order is active.
+  return_times returns;
   std::set<ForwardedRequest*> attempting;  ///< Requests with an attempt in flight.
   peer_monitor monitor;
   load_queries placement;
