--- a/core/admission/server_admission.cc
+++ b/core/admission/server_admission.cc
@@ -47,8 +47,8 @@
   return static_cast<std::size_t>(ahead) + 1;
 }
 
-Duration ServerAdmission::waitForSlot(const Position& position) const {
-  return service_time_.smoothed().value_or(kInitialServiceTime) *
+Duration ServerAdmission::waitForSlot(const Position& position, slowdown_factor slowdown) const {
+  return slowed(service_time_.smoothed().value_or(kInitialServiceTime), slowdown) *
          static_cast<std::int64_t>(requestsUpTo(position)) / static_cast<std::int64_t>(limit_);
 }
 
@@ -76,7 +76,7 @@
     return AdmissionVerdict::kDispatch;
   }
   const Position position = positionOf(request, now);
-  const Duration slot_wait = waitForSlot(position);
+  const Duration slot_wait = waitForSlot(position, request.slowdown);
   const Duration rate_wait = waitForRate(position, now);
   overload_.on_offer({1, std::max(slot_wait, rate_wait), request.reference_wait}, now);
   if (rate_wait > request.patience) {
@@ -90,12 +90,13 @@
   return AdmissionVerdict::kWait;
 }
 
-void ServerAdmission::onFinished(TimePoint begun, ServerOutcome outcome, TimePoint now) {
+void ServerAdmission::onFinished(TimePoint begun, ServerOutcome outcome, TimePoint now,
+                                 std::optional<Duration> usual_time) {
   if (underWay() == 0) {
     return;
   }
   const bool done = isCompletedRun(outcome);
-  service_time_.on_ended(begun, done, now);
+  service_time_.on_ended(begun, done, now, usual_time);
   if (outcome != ServerOutcome::kWithdrawn) {
     const double failed = done ? 0.0 : 1.0;
     failed_share_ += (failed - failed_share_) / static_cast<double>(kFailedShareSmoothingDivisor);
@@ -106,8 +107,8 @@
   return static_cast<std::uint32_t>(failed_share_ * kThousandths);
 }
 
-Duration ServerAdmission::serviceTime(TimePoint now) const {
-  return service_time_.current(now).value_or(kInitialServiceTime);
+Duration ServerAdmission::serviceTime(TimePoint now, slowdown_factor slowdown) const {
+  return service_time_.current(now, slowdown).value_or(kInitialServiceTime);
 }
 
 void ServerAdmission::withdraw(AdmissionId id) {
--- a/core/admission/server_admission.h
+++ b/core/admission/server_admission.h
@@ -67,6 +67,8 @@
   std::optional<Duration> service_time = std::nullopt;
   /// Root of its call tree, if its sender told it.
   std::optional<request_root> root = std::nullopt;
+  /// Current slowdown of the server's machine; see core/admission/machine_slowdown.h.
+  slowdown_factor slowdown = {};
 };
 
 class ServerAdmission {
@@ -79,8 +81,10 @@
   void setRate(std::optional<request_rate> rate, TimePoint now);
   /// Decides on a new request. A dispatched request counts as in flight until onFinished().
   AdmissionVerdict offer(const AdmissionRequest& request, TimePoint now);
-  /// Records that a request that was dispatched at `begun` has ended.
-  void onFinished(TimePoint begun, ServerOutcome outcome, TimePoint now);
+  /// Records that a request that was dispatched at `begun` has ended. `usual_time` as in
+  /// service_time_estimate::on_ended().
+  void onFinished(TimePoint begun, ServerOutcome outcome, TimePoint now,
+                  std::optional<Duration> usual_time = std::nullopt);
   /// Records that a dispatched request was not sent to the server; its token is returned.
   void onNotSent(TimePoint now) { rate_.return_token(now); }
   /// Removes a waiting request. Ignored if the request is not waiting.
@@ -104,7 +108,7 @@
   /// Maximum number of requests in flight.
   [[nodiscard]] std::uint32_t limit() const { return limit_; }
   /// Service time of the server over all routes; see service_time_estimate.
-  [[nodiscard]] Duration serviceTime(TimePoint now) const;
+  [[nodiscard]] Duration serviceTime(TimePoint now, slowdown_factor slowdown = {}) const;
   /// Smoothed share of requests that the server failed, did not run or did not answer, in
   /// thousandths.
   [[nodiscard]] std::uint32_t failedPermille() const;
@@ -135,7 +139,7 @@
   void noteCallPriority(std::uint32_t priority, TimePoint now);
   Position positionOf(const AdmissionRequest& request, TimePoint now);
   /// How long a request at `position` would wait for a slot at the current service time.
-  [[nodiscard]] Duration waitForSlot(const Position& position) const;
+  [[nodiscard]] Duration waitForSlot(const Position& position, slowdown_factor slowdown) const;
   /// How long a request at `position` would wait for a rate token.
   [[nodiscard]] Duration waitForRate(const Position& position, TimePoint now) const;
   /// Number of requests dispatched up to and including the one at `position`.
--- a/core/admission/service_times.cc
+++ b/core/admission/service_times.cc
@@ -17,7 +17,8 @@
   this->begun_sum += now;
 }
 
-void service_time_estimate::on_ended(TimePoint begun, bool done, TimePoint now) {
+void service_time_estimate::on_ended(TimePoint begun, bool done, TimePoint now,
+                                     std::optional<Duration> usual_time) {
   if (this->begun_count == 0) {
     return;
   }
@@ -26,16 +27,21 @@
   if (!done) {
     return;
   }
-  const auto time = now - begun;
+  const auto time = usual_time.value_or(now - begun);
   const auto before = this->smoothed_time.value_or(time);
   this->smoothed_time = before + (time - before) / smoothing_divisor;
 }
 
-auto service_time_estimate::current(TimePoint now) const -> std::optional<Duration> {
-  if (!this->smoothed_time || this->begun_count == 0) {
-    return this->smoothed_time;
+auto service_time_estimate::current(TimePoint now, slowdown_factor slowdown) const
+    -> std::optional<Duration> {
+  if (!this->smoothed_time) {
+    return std::nullopt;
   }
-  return std::max(*this->smoothed_time, now - this->begun_sum / this->begun_count);
+  const auto slowed_time = slowed(*this->smoothed_time, slowdown);
+  if (this->begun_count == 0) {
+    return slowed_time;
+  }
+  return std::max(slowed_time, now - this->begun_sum / this->begun_count);
 }
 
 void service_times::on_begun(const std::string& route, TimePoint now) {
@@ -45,16 +51,18 @@
   this->routes[route].on_begun(now);
 }
 
-void service_times::on_ended(const std::string& route, TimePoint begun, bool done, TimePoint now) {
+void service_times::on_ended(const std::string& route, TimePoint begun, bool done, TimePoint now,
+                             std::optional<Duration> usual_time) {
   const auto found = this->routes.find(route);
   if (found != this->routes.end()) {
-    found->second.on_ended(begun, done, now);
+    found->second.on_ended(begun, done, now, usual_time);
   }
 }
 
-auto service_times::of(const std::string& route, TimePoint now) const -> std::optional<Duration> {
+auto service_times::of(const std::string& route, TimePoint now, slowdown_factor slowdown) const
+    -> std::optional<Duration> {
   const auto found = this->routes.find(route);
-  return found == this->routes.end() ? std::nullopt : found->second.current(now);
+  return found == this->routes.end() ? std::nullopt : found->second.current(now, slowdown);
 }
 
 }  // namespace ramppond
