Server-Load: read reports of four values, query the health path, tell other proxies

Nothing read a server's report on its machine. The adapter parses three or four values; anything else is unreadable, counted and without effect. The proxy beside the server takes the report from responses and, while requests run or wait and the value is older than 100 ms, from the health path, by a connection of its own: no admission, no slot, no failure. Other proxies get Ramppond-Slowdown with responses and pings and keep it as data. Setting server_load, event server_load.

--- a/core/external/external_api.h
+++ b/core/external/external_api.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/admission/server_load_report.h"
 #include "core/lifecycle/local_server.h"
 #include "core/rate_limit/request_rate.h"
 #include "core/retries/retry_budget.h"
@@ -34,6 +35,7 @@
   std::string tenant;           ///< Set to the name of the tenant that holds the request's key.
   std::string server_limit;     ///< In a server's answer: requests per second that it accepts.
   std::string server_leaving;   ///< In a server's answer: the server is about to stop.
+  std::string server_load;      ///< In a server's answer: its load and its machine's slowdown.
 };
 
 enum class ExternalCallType : std::uint8_t {
@@ -81,6 +83,9 @@
   [[nodiscard]] virtual named_limit parseLimit(const std::vector<std::string>& values) const = 0;
   /// Parses the values of all fields named headers().server_leaving.
   [[nodiscard]] virtual bool parseLeaving(const std::vector<std::string>& values) const = 0;
+  /// Parses the values of all fields named headers().server_load.
+  [[nodiscard]] virtual named_server_load parseServerLoad(
+      const std::vector<std::string>& values) const = 0;
   [[nodiscard]] virtual ExternalCall classify(std::string_view method,
                                               std::string_view target) const = 0;
   [[nodiscard]] virtual Parsed<ServerHeartbeat> parseHeartbeat(const std::string& instance_id,
--- a/core/placement/instance_directory.h
+++ b/core/placement/instance_directory.h
@@ -37,6 +37,8 @@
   std::uint32_t failed_permille = 0;   ///< Share of recent requests that failed or got no answer.
   shed_level shed = {};                ///< Work to shed for the server.
   std::optional<rate_load> rate = {};  ///< Set if the server names a rate limit.
+  /// Present duration of work on its machine in percent of the usual duration, if known.
+  std::optional<std::uint32_t> slowdown_percent = {};
 };
 
 /// What the directory knows about a server. Pointers stay valid for the lifetime of the directory.
--- a/daemon/proxy/forwarded_answer.cc
+++ b/daemon/proxy/forwarded_answer.cc
@@ -60,6 +60,7 @@
     return;
   }
   load->rate = parseRate(head.find(kPeerRate));
+  load->slowdown_percent = parseSlowdown(head.find(kPeerSlowdown));
   context_.directory.onLoad(attempt_->instance, params_.route->name, *load, now);
   auto levels = parseOverload(head.find(kPeerOverload));
   levels = highest_levels(std::move(levels), {{params_.service, load->shed}});
--- a/daemon/proxy/inbound_answer.cc
+++ b/daemon/proxy/inbound_answer.cc
@@ -127,6 +127,9 @@
   if (load.rate) {
     head.fields.push_back({std::string(kPeerRate), formatRate(*load.rate)});
   }
+  if (load.slowdown_percent) {
+    head.fields.push_back({std::string(kPeerSlowdown), std::to_string(*load.slowdown_percent)});
+  }
   const std::string levels = formatOverload(
       downstream_overload_of(route_, context_.calls, context_.overload, EventLoop::now()));
   if (!levels.empty()) {
@@ -141,6 +144,7 @@
   if (context_.api.parseLeaving(head.all(names.server_leaving))) {
     context_.own.on_leaving_answer(incarnation_);
   }
+  context_.server_load.on_response(incarnation_, head);
 }
 
 void InboundRequest::onResponseHead(HttpHead head) {
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -148,6 +148,7 @@
   }
   state_ = State::kAwaitingAdmission;
   admission_.service_time = context_.own.service_time(route_);
+  admission_.slowdown = context_.own.slowdown().factor(EventLoop::now());
   const AdmissionVerdict verdict = context_.own.admission().offer(admission_, EventLoop::now());
   switch (verdict) {
     case AdmissionVerdict::kDispatch:
@@ -163,11 +164,13 @@
       refuseForRate();
       break;
   }
+  context_.server_load.on_offered();
 }
 
 void InboundRequest::onAdmitted() {
   in_flight_ = true;
   begun_ = EventLoop::now();
+  begun_work_ = context_.own.slowdown().work_clock(begun_);
   context_.own.on_dispatched(route_, begun_);
   if (state_ == State::kDone || refuseIfFenced()) {
     finishServerWork(ServerOutcome::kWithdrawn);
@@ -260,7 +263,7 @@
   const bool sent = upstream_ != nullptr && upstream_->sent();
   const bool reused = upstream_ != nullptr && upstream_->reusedConnection();
   const Duration since_failed_call = EventLoop::now() - context_.last_failed_forward;
-  context_.own.on_ended({route_, begun_, outcome, sent, reused, since_failed_call});
+  context_.own.on_ended({route_, begun_, outcome, sent, reused, since_failed_call, begun_work_});
   context_.waiting.dispatch_ready();
 }
 
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -101,8 +101,9 @@
   AdmissionRequest admission_;
   TimePoint received_{0};
   TimePoint deadline_{0};
-  TimePoint begun_{0};  ///< When the request was admitted.
-  std::string body_;    ///< Bytes received before the request was sent to the server.
+  TimePoint begun_{0};                   ///< When the request was admitted.
+  std::optional<TimePoint> begun_work_;  ///< The same by machine_slowdown::work_clock().
+  std::string body_;  ///< Bytes received before the request was sent to the server.
   bool body_ended_ = false;
   std::optional<WithheldBody> withheld_body_;  ///< Set if the sender withholds the last chunk.
   LoopTimer confirm_timer_;
--- a/daemon/proxy/own_server.cc
+++ b/daemon/proxy/own_server.cc
@@ -126,6 +126,7 @@
     this->breaker = circuit_breaker();
     this->service_durations = service_times();
     this->announced_limit = effective_limit();
+    this->machine.on_new_incarnation(EventLoop::now());
     this->admission_control.setRate(std::nullopt, EventLoop::now());
   }
   this->apply_limits();
@@ -136,15 +137,35 @@
   if (!this->server.known()) {
     return;
   }
-  auto max_connections = std::uint32_t(0);
-  for (const auto& service : this->services) {
-    if (service.name == this->server.heartbeat().service) {
-      max_connections = service.max_connections;
-    }
-  }
+  const auto* defined = this->service();
+  const auto max_connections = defined == nullptr ? 0 : defined->max_connections;
   this->admission_control.setSlots(this->server.heartbeat().slots, max_connections);
 }
 
+auto own_server::service() const -> const ServiceDefinition* {
+  const auto found = std::find_if(this->services.begin(), this->services.end(),
+                                  [&](const ServiceDefinition& defined) {
+                                    return defined.name == this->server.heartbeat().service;
+                                  });
+  return found == this->services.end() ? nullptr : &*found;
+}
+
+auto own_server::health_path() const -> std::string {
+  const auto* defined = this->service();
+  if (defined == nullptr) {
+    return "";
+  }
+  const auto connections = defined->max_connections;
+  const auto has_spare = connections == 0 || this->admission_control.limit() < connections;
+  return has_spare ? defined->health_path : "";
+}
+
+void own_server::on_load_report(const std::string& incarnation, const named_server_load& reported) {
+  if (incarnation == this->tracked_incarnation) {
+    this->machine.on_report(reported, EventLoop::now());
+  }
+}
+
 auto own_server::fence(const std::string& incarnation, const std::string& service) const
     -> FenceVerdict {
   return this->server.admit(incarnation, service, EventLoop::now());
@@ -165,9 +186,13 @@
 
 void own_server::on_ended(const ended_run& run) {
   const auto now = EventLoop::now();
-  this->service_durations.on_ended(run.route, run.begun, isCompletedRun(run.outcome), now);
+  const auto usual_time =
+      run.begun_work ? std::optional<Duration>(this->machine.work_clock(now) - *run.begun_work)
+                     : std::nullopt;
+  const auto done = isCompletedRun(run.outcome);
+  this->service_durations.on_ended(run.route, run.begun, done, now, usual_time);
   this->update_breaker(run, now);
-  this->admission_control.onFinished(run.begun, run.outcome, now);
+  this->admission_control.onFinished(run.begun, run.outcome, now, usual_time);
   if (!run.sent) {
     this->admission_control.onNotSent(now);
   }
@@ -197,7 +222,9 @@
   load.limit = this->admission_control.limit();
   load.under_way = static_cast<std::uint32_t>(this->admission_control.underWay());
   load.waiting = static_cast<std::uint32_t>(this->admission_control.waiting());
-  load.service_time = this->service_durations.of(route, now).value_or(Duration(0));
+  load.service_time =
+      this->service_durations.of(route, now, this->machine.factor(now)).value_or(Duration(0));
+  load.slowdown_percent = this->machine.percent(now);
   load.failed_permille = this->admission_control.failedPermille();
   load.shed = this->admission_control.shedLevel(now);
   if (const auto rate = this->announced_limit.rate()) {
--- a/daemon/proxy/own_server.h
+++ b/daemon/proxy/own_server.h
@@ -12,6 +12,7 @@
 
 #include "common/event_log.h"
 #include "core/admission/circuit_breaker.h"
+#include "core/admission/machine_slowdown.h"
 #include "core/admission/server_admission.h"
 #include "core/admission/service_times.h"
 #include "core/lifecycle/local_server.h"
@@ -31,6 +32,7 @@
   bool sent = true;                // sent to the server, which may have received part of it
   bool reused_connection = false;  // a previously idle connection to the server was used
   Duration since_failed_call{0};   // see signal_of() in core/admission/run_outcome.h
+  std::optional<TimePoint> begun_work = std::nullopt;  // `begun` by machine_slowdown::work_clock()
 };
 
 class own_server {
@@ -67,13 +69,22 @@
       -> FenceVerdict;
   /// Whether the circuit breaker admits a request now.
   auto breaker_admits(bool retryable) -> bool;
-  /// The service time of requests of `route`; std::nullopt before the first one has completed.
+  /// The service time of requests of `route` at usual speed; std::nullopt before the first one has
+  /// completed.
   [[nodiscard]] auto service_time(const std::string& route) const -> std::optional<Duration>;
   /// A request of `route` was dispatched.
   void on_dispatched(const std::string& route, TimePoint now);
   /// Must be called once for each dispatched request.
   void on_ended(const ended_run& run);
 
+  /// A message of `incarnation` carried this report on its load.
+  void on_load_report(const std::string& incarnation, const named_server_load& reported);
+  /// Slowdown of the server's machine.
+  [[nodiscard]] auto slowdown() -> machine_slowdown& { return this->machine; }
+  /// Health path of the server's service; empty if none is configured, or if the server accepts no
+  /// connection beyond those of the requests in flight.
+  [[nodiscard]] auto health_path() const -> std::string;
+
   /// A request was refused because of the announced rate limit.
   void on_refused_for_rate() { this->refused_for_rate += 1; }
 
@@ -95,6 +106,8 @@
   void apply_rate(const std::optional<request_rate>& before);
   void log_unreadable(const std::string& incarnation, const named_limit& answered);
   void apply_limits();
+  /// The configured service of the server; nullptr if none is configured.
+  [[nodiscard]] auto service() const -> const ServiceDefinition*;
   void update_breaker(const ended_run& run, TimePoint now);
 
   HttpClientPool pool;
@@ -103,9 +116,10 @@
   service_times service_durations;
   circuit_breaker breaker;
   effective_limit announced_limit;
+  machine_slowdown machine;
   std::uint64_t dispatched = 0;        // requests since the start of this proxy
   std::uint64_t refused_for_rate = 0;  // requests refused for the announced limit since then
-  std::string tracked_incarnation;     // of service_durations, breaker and announced_limit
+  std::string tracked_incarnation;     // of service_durations, breaker, announced_limit and machine
   DecisionLimit unreadable_log{"server_limit_unreadable"};
   std::vector<ServiceDefinition> services;
 };
--- a/daemon/proxy/peer_headers.cc
+++ b/daemon/proxy/peer_headers.cc
@@ -5,11 +5,14 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 #include <cmath>
 #include <cstdlib>
 #include <limits>
 #include <sstream>
 
+#include "core/admission/server_load_report.h"
+
 namespace ramppond {
 namespace {
 
@@ -129,6 +132,19 @@
                    static_cast<double>(demand) / kThousand};
 }
 
+std::optional<std::uint32_t> parseSlowdown(const std::string* text) {
+  if (text == nullptr || text->empty()) {
+    return std::nullopt;
+  }
+  const char* const end = text->data() + text->size();
+  std::uint32_t percent = 0;
+  const auto parsed = std::from_chars(text->data(), end, percent);
+  const bool is_valid = parsed.ec == std::errc() && parsed.ptr == end &&
+                        percent >= min_reported_slowdown_percent &&
+                        percent <= max_reported_slowdown_percent;
+  return is_valid ? std::optional<std::uint32_t>(percent) : std::nullopt;
+}
+
 std::string formatRoot(const request_root& root) {
   return std::to_string(root.rank) + (root.repeatable ? "/1/" : "/0/") + encodeCaller(root.caller);
 }
--- a/daemon/proxy/peer_headers.h
+++ b/daemon/proxy/peer_headers.h
@@ -58,6 +58,9 @@
 /// Answers: the rate limit that the server announces: "requests a second/demand as a multiple of
 /// it", both in thousandths. Absent while the server announces none.
 constexpr std::string_view kPeerRate = "Ramppond-Rate";
+/// Answers and pings: the present duration of work on the server's machine in percent of the usual
+/// duration. Absent while unknown.
+constexpr std::string_view kPeerSlowdown = "Ramppond-Slowdown";
 /// Requests: the rate limit of the chosen instance that the sender learned last, in the same
 /// format, for a proxy that has restarted since.
 constexpr std::string_view kPeerToldRate = "Ramppond-Told-Rate";
@@ -94,6 +97,9 @@
 std::string formatRate(const rate_load& rate);
 /// Returns std::nullopt if the text is malformed.
 std::optional<rate_load> parseRate(const std::string* text);
+/// Returns std::nullopt if the text is not a whole number within the bounds of
+/// core/admission/server_load_report.h.
+std::optional<std::uint32_t> parseSlowdown(const std::string* text);
 /// A caller whose encoded name exceeds 96 bytes is replaced by a digest of its name.
 std::string formatRoot(const request_root& root);
 /// Returns std::nullopt if the text is malformed.
--- a/daemon/proxy/peer_ping.cc
+++ b/daemon/proxy/peer_ping.cc
@@ -20,7 +20,8 @@
 void peer_ping::onResponseHead(HttpHead head) {
   const auto now = EventLoop::now();
   this->directory.onPingAnswered(this->instance, now);
-  if (const auto load = parseLoad(head.find(kPeerLoad))) {
+  if (auto load = parseLoad(head.find(kPeerLoad))) {
+    load->slowdown_percent = parseSlowdown(head.find(kPeerSlowdown));
     this->directory.onLoad(this->instance, "", *load, now);
   }
 }
@@ -37,6 +38,9 @@
   auto head = HttpHead();
   head.status = kOk;
   head.fields.push_back({std::string(kPeerLoad), formatLoad(load)});
+  if (load.slowdown_percent) {
+    head.fields.push_back({std::string(kPeerSlowdown), std::to_string(*load.slowdown_percent)});
+  }
   exchange.respond(std::move(head), "");
 }
 
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -30,6 +30,7 @@
 #include "daemon/proxy/peer_pools.h"
 #include "daemon/proxy/proxy_counters.h"
 #include "daemon/proxy/proxy_settings.h"
+#include "daemon/proxy/server_load_monitor.h"
 #include "daemon/proxy/waiting_requests.h"
 #include "net/stream/event_loop.h"
 #include "net/stream/http_client.h"
@@ -82,6 +83,7 @@
   InstanceDirectory directory;
   proxy_counters counters;
   own_server own;
+  server_load_monitor server_load;
   call_attribution calls;        ///< Calls of the local server.
   downstream_overload overload;  ///< By route of the requests that originate on this machine.
   crash_guard guard;             ///< Guards the local server.
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -245,6 +245,7 @@
 void ProxyProcess::onSecondElapsed() {
   channels_.closeUnusedSince(EventLoop::now() - kMemberConnectionIdle);
   context_.own.connections().sweep();
+  context_.server_load.sweep();
   context_.peers.sweep();
   rereadSettings(false);
   seconds_ += 1;
@@ -263,9 +264,11 @@
   gauges.sockets = loop_.sockets().open().value;
   gauges.under_way = context_.own.admission().underWay();
   gauges.waiting = context_.own.admission().waiting();
-  gauges.service_time = context_.own.admission().serviceTime(EventLoop::now());
+  gauges.service_time = context_.own.admission().serviceTime(
+      EventLoop::now(), context_.own.slowdown().factor(EventLoop::now()));
   logEvent(EventLoop::now().count(), "counters", counter_fields(context_.counters, gauges));
   context_.own.log_limit_use();
+  context_.server_load.log_use();
 }
 
 }  // namespace ramppond
--- a/tests/common/folders_test.cc
+++ b/tests/common/folders_test.cc
@@ -37,7 +37,8 @@
     {"core/session", {"core/control", "core/crash_evidence", "core/distribution", "core/traffic"}},
     {"core/call_port", {"core/call_model", "core/control", "core/rate_limit"}},
     {"core/external",
-     {"core/lifecycle", "core/rate_limit", "core/retries", "core/tenants", "core/traffic"}},
+     {"core/admission", "core/lifecycle", "core/rate_limit", "core/retries", "core/tenants",
+      "core/traffic"}},
 };
 
 auto folder_of(const std::string& path) -> std::string {
--- a/tests/daemon/proxy/own_server_test.cc
+++ b/tests/daemon/proxy/own_server_test.cc
@@ -109,5 +109,47 @@
   EXPECT_FALSE(this->server.load("").rate);
 }
 
+TEST_F(own_server_test, load_includes_slowdown_of_current_incarnation_only) {
+  this->server.on_heartbeat(heartbeat_of("a", 1));
+  const auto a = heartbeat_of("a", 1).incarnation();
+  const auto report = server_load_report{1, 0, 100, 300};
+  EXPECT_FALSE(this->server.load("").slowdown_percent);
+  this->server.on_load_report("former", report);
+  EXPECT_FALSE(this->server.load("").slowdown_percent);
+  this->server.on_load_report(a, report);
+  EXPECT_EQ(this->server.load("").slowdown_percent, 300U);
+  this->server.on_heartbeat(heartbeat_of("b", 1));
+  EXPECT_FALSE(this->server.load("").slowdown_percent);
+}
+
+// Peers compare servers by their present speed.
+TEST_F(own_server_test, reported_service_time_follows_the_slowdown) {
+  this->server.on_heartbeat(heartbeat_of("a", 1));
+  const auto a = heartbeat_of("a", 1).incarnation();
+  auto run = ended_run();
+  run.route = "r";
+  run.begun = EventLoop::now() - milliseconds(30);
+  run.begun_work = this->server.slowdown().work_clock(run.begun);
+  this->server.admission().offer({}, run.begun);
+  this->server.on_dispatched(run.route, run.begun);
+  this->server.on_ended(run);
+  const auto usual = this->server.load("r").service_time;
+  this->server.on_load_report(a, server_load_report{1, 0, 100, 300});
+  EXPECT_EQ(this->server.load("r").service_time, 3 * usual);
+  EXPECT_EQ(this->server.service_time("r"), usual);
+}
+
+// A query must not take a connection that a request needs.
+TEST_F(own_server_test, health_path_needs_a_connection_to_spare) {
+  this->server.on_heartbeat(heartbeat_of("a", 1));
+  EXPECT_EQ(this->server.health_path(), "");
+  this->server.set_services({{"desk", "/health", 0}});
+  EXPECT_EQ(this->server.health_path(), "/health");
+  this->server.set_services({{"desk", "/health", 20}});
+  EXPECT_EQ(this->server.health_path(), "/health");
+  this->server.set_services({{"desk", "/health", 1}});
+  EXPECT_EQ(this->server.health_path(), "");
+}
+
 }  // namespace
 }  // namespace ramppond
--- a/tests/daemon/proxy/peer_headers_test.cc
+++ b/tests/daemon/proxy/peer_headers_test.cc
@@ -104,5 +104,14 @@
   EXPECT_FALSE(parseRoot(&too_long));
 }
 
+TEST(peer_headers, parse_slowdown_accepts_only_whole_numbers_within_bounds) {
+  const std::string valid = "300";
+  EXPECT_EQ(parseSlowdown(&valid), 300U);
+  EXPECT_FALSE(parseSlowdown(nullptr));
+  for (const std::string wrong : {"", "0", "-300", "300,", "text", "1.5", "100001", "1000000000"}) {
+    EXPECT_FALSE(parseSlowdown(&wrong)) << wrong;
+  }
+}
+
 }  // namespace
 }  // namespace ramppond
--- a/tests/platform/fake_platform.cc
+++ b/tests/platform/fake_platform.cc
@@ -16,6 +16,7 @@
 constexpr Duration kConditionTimeout = seconds(20);
 constexpr std::size_t kMaximumBodyBytes = 1U << 20U;
 constexpr Duration kHeartbeatInterval = milliseconds(300);
+constexpr char kHealthPath[] = "/health";
 
 /// Returns distinct ports of one address, chosen by the kernel. All sockets stay open until all
 /// ports are chosen, so that no port is chosen twice.
@@ -219,7 +220,24 @@
   });
 }
 
+void AppServer::serveHealth(const std::shared_ptr<ServerExchange>& exchange) {
+  health_queries.push_back(EventLoop::now());
+  if (!answers_health) {
+    return;
+  }
+  HttpHead head;
+  head.status = 200;
+  if (!load_report.empty()) {
+    head.fields.push_back({"Server-Load", load_report});
+  }
+  exchange->respond(std::move(head), "");
+}
+
 void AppServer::serve(const std::shared_ptr<ServerExchange>& exchange) {
+  if (exchange->request().target == kHealthPath) {
+    serveHealth(exchange);
+    return;
+  }
   arrivals.push_back(EventLoop::now());
   const std::weak_ptr<ServerExchange> weak = exchange;
   exchange->setHandler(
@@ -275,6 +293,9 @@
   if (!named_limit.empty()) {
     head.fields.push_back({"Server-Limit", named_limit});
   }
+  if (!load_report.empty()) {
+    head.fields.push_back({"Server-Load", load_report});
+  }
   if (reports_leaving) {
     head.fields.push_back({"Server-Leaving", "1"});
   }
@@ -372,7 +393,7 @@
   for (int seed = 0; seed < kControlMachines; ++seed) {
     file << (seed == 0 ? "\"" : ",\"") << controlHost(seed) << ":" << ports.operators << "\"";
   }
-  file << "]\nbounds = " << tomlList(bounds) << "\n";
+  file << "]\nbounds = " << tomlList(bounds) << "\n" << proxy_settings;
   file.close();
   proxies[static_cast<std::size_t>(machine)] =
       std::make_unique<Program>(RAMPPOND_PROXY, path, folder + "/log");
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -105,11 +105,16 @@
   bool reports_leaving =
       false;  ///< Announces in each answer that it leaves; heartbeats still say ready.
   std::vector<TimePoint> arrivals;  ///< Arrival time of each request.
+  std::string load_report;  ///< Server-Load in responses and on the health path; empty for none.
+  bool answers_health = true;
+  std::vector<TimePoint> health_queries;  ///< Arrival time of each request to the health path.
 
  private:
   void serve(const std::shared_ptr<ServerExchange>& exchange);
   void finishWork(const std::shared_ptr<ServerExchange>& exchange, const std::string& body);
   void answer(const std::shared_ptr<ServerExchange>& exchange, const std::string& body);
+  /// Responds at once and without a slot, as servers that report four values do.
+  void serveHealth(const std::shared_ptr<ServerExchange>& exchange);
   [[nodiscard]] bool shouldCrash(const HttpHead& request) const;
 
   EventLoop& loop_;
@@ -170,6 +175,8 @@
 
   /// Bounds (NAME=VALUE each) in the settings of processes that are started from now on.
   std::vector<std::string> bounds = {"drain_timeout_s=2", "grace_s=6"};
+  /// Further lines in the settings of proxies that are started from now on.
+  std::string proxy_settings;
 
   EventLoop loop;
   Ports ports;
