--- a/tests/platform/server_load_test.cc
+++ b/tests/platform/server_load_test.cc
@@ -25,14 +25,21 @@
   return most;
 }
 
-/// Returns the share of failed requests, in thousandths, that a response reports to other proxies.
-std::string failedPermille(const std::string& response) {
+constexpr int kServiceTimePart = 3;     // in microseconds
+constexpr int kFailedPermillePart = 4;  // share of failed requests in thousandths
+
+/// Returns one part of the load that a response reports to other proxies, or -1 if there is none.
+std::int64_t partOfLoad(const std::string& response, int part) {
   const std::string field = "Ramppond-Load: ";
-  std::size_t begin = response.find(field) + field.size();
-  for (int slash = 0; slash < 4; ++slash) {
+  std::size_t begin = response.find(field);
+  if (begin == std::string::npos) {
+    return -1;
+  }
+  begin += field.size();
+  for (int slash = 0; slash < part; ++slash) {
     begin = response.find('/', begin) + 1;
   }
-  return response.substr(begin, response.find('/', begin) - begin);
+  return std::strtoll(response.c_str() + begin, nullptr, 10);
 }
 
 class ServerLoadTest : public ForwardingTest {
@@ -49,11 +56,12 @@
                                "GET /one/x HTTP/1.1\r\nHost: app.example\r\n" + fields + "\r\n");
   }
   std::string ping() { return sendAsPeer("Ramppond-Ping: 1\r\n"); }
-  std::string runAsPeer(const std::string& patience_ms = "1000") {
+  std::string runAsPeer(const std::string& patience_ms = "1000",
+                        const std::string& route = "r-one") {
     return sendAsPeer("Request-Id: peer-" + std::to_string(next_++) +
                       "\r\nDeadline-Ms: 4000\r\nRamppond-Instance: i-0\r\nRamppond-Service: one"
-                      "\r\nRamppond-Route: r-one\r\nRamppond-Patience-Ms: " +
-                      patience_ms + "\r\n");
+                      "\r\nRamppond-Route: " +
+                      route + "\r\nRamppond-Patience-Ms: " + patience_ms + "\r\n");
   }
   /// Keeps requests running at server 0 for `time`, each for kLongWork.
   void runLongRequests(Duration time) {
@@ -154,7 +162,7 @@
   EXPECT_EQ(deployment_.send(0, request("/one/x", "after")).status, 200);
   EXPECT_EQ(log().find("\"event\":\"breaker\""), std::string::npos);
   EXPECT_EQ(log().find("\"event\":\"server_ended\""), std::string::npos);
-  EXPECT_EQ(failedPermille(runAsPeer()), "0");
+  EXPECT_EQ(partOfLoad(runAsPeer(), kFailedPermillePart), 0);
 }
 
 // A request that would wait too long at the reported speed must be refused before it waits.
@@ -182,6 +190,16 @@
   EXPECT_TRUE(deployment_.runUntil([&] { return answered == kMoreThanSlotsOfService; }));
 }
 
+// Times must be measured at usual speed, or the slowdown would count twice: 1 s in place of 100 ms.
+TEST_F(ServerLoadTest, ReportedServiceTimeCountsSlowdownOnce) {
+  reportOnAllServers("1,0,8,1000");
+  server().work = milliseconds(100);
+  EXPECT_TRUE(deployment_.runUntil([&] {
+    const std::int64_t time = partOfLoad(runAsPeer("1000", "r-long"), kServiceTimePart);
+    return time > 0 && milliseconds(300) > Duration(time);
+  }));
+}
+
 TEST_F(ServerLoadTest, CountersAreLoggedWhileServerReports) {
   reportOnAllServers("1,0,8,200");
   runAsPeer();
