--- a/daemon/proxy/server_load_monitor.cc
+++ b/daemon/proxy/server_load_monitor.cc
@@ -142,10 +142,12 @@
 
 void server_load_monitor::log_use() {
   const auto is_reported = this->server.slowdown().is_reported();
-  if (!is_active(this->mode, is_reported) || this->counters.sum() == this->logged_sum) {
+  const auto is_unreadable = this->counters.unreadable != this->logged.unreadable;
+  const auto is_changed = this->counters.sum() != this->logged.sum();
+  if (!is_changed || !is_active(this->mode, is_reported || is_unreadable)) {
     return;
   }
-  this->logged_sum = this->counters.sum();
+  this->logged = this->counters;
   const auto now = EventLoop::now();
   const auto percent = this->server.slowdown().percent(now);
   logEvent(now.count(), "server_load",
--- a/daemon/proxy/server_load_monitor.h
+++ b/daemon/proxy/server_load_monitor.h
@@ -33,8 +33,9 @@
   void on_offered();
   /// Call about once a second.
   void sweep() { this->pool.sweep(); }
-  /// Logs the event `server_load` while the part is active, if anything was reported since the last
-  /// call. Call whenever the counters are logged.
+  /// Logs the event `server_load` if anything was counted since its last line, and the server
+  /// reports a slowdown, sent an unreadable report since then, or the mode is `on`. Call whenever
+  /// the counters are logged.
   void log_use();
 
  private:
@@ -45,7 +46,7 @@
     std::uint64_t queries = 0;
     std::uint64_t failed_queries = 0;  // without an answer in time
     [[nodiscard]] auto sum() const -> std::uint64_t {
-      return this->reports + this->unreadable + this->queries;
+      return this->reports + this->unreadable + this->queries + this->failed_queries;
     }
   };
 
@@ -67,7 +68,7 @@
   std::shared_ptr<query> current;
   std::shared_ptr<ClientExchange> exchange;
   use_counters counters;
-  std::uint64_t logged_sum = 0;
+  use_counters logged;            // counters as of the last log line
   std::string unreadable_reason;  // of the last unreadable report
 };
 
