Tests of Server-Load wait for events instead of fixed times

Numbers of queries in a fixed time, and a patience of 30 ms against an assumed service time, depended on the speed of the machine. The patience is now derived from the reported service time, the slots are held until the refusal is seen, and the same request is shown to wait at usual speed. The log of unreadable reports is tested.

--- a/tests/platform/fake_platform.cc
+++ b/tests/platform/fake_platform.cc
@@ -9,6 +9,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <utility>
 
 namespace ramppond::fake_platform {
 namespace {
@@ -245,14 +246,28 @@
         const auto timer = std::make_shared<LoopTimer>(loop_);
         timers_.push_back(timer);
         timer->after(work, [this, weak, body] {
-          const auto alive = weak.lock();
-          if (alive != nullptr) {
-            finishWork(alive, body);
+          const auto finish = [this, weak, body] {
+            const auto alive = weak.lock();
+            if (alive != nullptr) {
+              finishWork(alive, body);
+            }
+          };
+          if (holds_answers) {
+            held_answers_.emplace_back(finish);
+          } else {
+            finish();
           }
         });
       }));
 }
 
+void AppServer::releaseAnswers() {
+  holds_answers = false;
+  for (const auto& finish : std::exchange(held_answers_, {})) {
+    finish();
+  }
+}
+
 bool AppServer::shouldCrash(const HttpHead& request) const {
   const std::string expected = request.get("Expect-Instance");
   const bool meant = expected.empty() || expected == instance_;
@@ -472,9 +487,19 @@
 
 void Deployment::sendLater(int machine, const Request& request,
                            std::function<void(const Answer&)> done) {
+  startLater(serverHost(machine), ports.clients, request, std::move(done));
+}
+
+void Deployment::sendLaterAsPeer(int machine, const Request& request,
+                                 std::function<void(const Answer&)> done) {
+  startLater(serverHost(machine), ports.peers, request, std::move(done));
+}
+
+void Deployment::startLater(const std::string& host, std::uint16_t port, const Request& request,
+                            std::function<void(const Answer&)> done) {
   const auto handler = std::make_shared<AnswerCollector>(std::move(done));
   const BodyFraming framing = request.body.empty() ? BodyFraming::kNone : BodyFraming::kLength;
-  HttpClientPool& clients = pool(serverHost(machine), ports.clients);
+  HttpClientPool& clients = pool(host, port);
   sent_later_.push_back(
       {handler, clients.start(makeHead(request), framing, request.body, true, handler)});
 }
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -105,6 +105,9 @@
   bool reports_leaving =
       false;  ///< Announces in each answer that it leaves; heartbeats still say ready.
   std::vector<TimePoint> arrivals;  ///< Arrival time of each request.
+  bool holds_answers = false;  ///< Requests that have been worked on wait for releaseAnswers().
+  /// Answers the requests that were held, and no longer holds any.
+  void releaseAnswers();
   std::string load_report;  ///< Server-Load in responses and on the health path; empty for none.
   bool answers_health = true;
   std::vector<TimePoint> health_queries;  ///< Arrival time of each request to the health path.
@@ -128,6 +131,7 @@
   std::vector<std::shared_ptr<ClientHandler>> handlers_;
   std::vector<std::shared_ptr<ClientExchange>> exchanges_;
   std::vector<std::shared_ptr<LoopTimer>> timers_;
+  std::vector<std::function<void()>> held_answers_;
   LoopTimer heartbeat_timer_;
   LoopTimer restart_timer_;
   std::uint64_t sequence_ = 0;
@@ -156,6 +160,9 @@
   Answer send(int machine, const Request& request);
   /// Starts a request without waiting for it; `done` is called with the answer.
   void sendLater(int machine, const Request& request, std::function<void(const Answer&)> done);
+  /// The same from another proxy: to the port of `machine` for requests of other proxies.
+  void sendLaterAsPeer(int machine, const Request& request,
+                       std::function<void(const Answer&)> done);
   /// Sends the bytes of a valid or malformed message. Returns the bytes received up to a complete
   /// header or the end of the connection.
   std::string sendRaw(const std::string& host, std::uint16_t port, const std::string& bytes);
@@ -186,6 +193,8 @@
   std::vector<std::unique_ptr<AppServer>> servers;
 
  private:
+  void startLater(const std::string& host, std::uint16_t port, const Request& request,
+                  std::function<void(const Answer&)> done);
   /// Keeps a request of sendLater() alive until the deployment ends.
   struct SentLater {
     std::shared_ptr<ClientHandler> handler;
--- a/tests/platform/server_load_test.cc
+++ b/tests/platform/server_load_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <functional>
 #include <iterator>
 
 #include "tests/platform/forwarding_fixture.h"
@@ -13,6 +14,7 @@
 constexpr char kSlowdownField[] = "Ramppond-Slowdown: ";
 constexpr Duration kLongWork = milliseconds(700);
 constexpr Duration kSecond = seconds(1);
+constexpr Duration kTimeout = seconds(20);
 // Bound of the design, for any span of a second.
 constexpr std::size_t kMaximumQueriesPerSecond = 10;
 
@@ -25,6 +27,8 @@
   return most;
 }
 
+constexpr int kLimitPart = 0;           // maximum number of requests in flight
+constexpr int kUnderWayPart = 1;        // requests in flight
 constexpr int kServiceTimePart = 3;     // in microseconds
 constexpr int kFailedPermillePart = 4;  // share of failed requests in thousandths
 
@@ -56,22 +60,37 @@
                                "GET /one/x HTTP/1.1\r\nHost: app.example\r\n" + fields + "\r\n");
   }
   std::string ping() { return sendAsPeer("Ramppond-Ping: 1\r\n"); }
-  std::string runAsPeer(const std::string& patience_ms = "1000",
-                        const std::string& route = "r-one") {
+  std::string runAsPeer(const std::string& patience_ms = "1000", const std::string& route = "r-one",
+                        const std::string& instance = "i-0") {
     return sendAsPeer("Request-Id: peer-" + std::to_string(next_++) +
-                      "\r\nDeadline-Ms: 4000\r\nRamppond-Instance: i-0\r\nRamppond-Service: one"
-                      "\r\nRamppond-Route: " +
-                      route + "\r\nRamppond-Patience-Ms: " + patience_ms + "\r\n");
+                      "\r\nDeadline-Ms: 4000\r\nRamppond-Instance: " + instance +
+                      "\r\nRamppond-Service: one\r\nRamppond-Route: " + route +
+                      "\r\nRamppond-Patience-Ms: " + patience_ms + "\r\n");
+  }
+  /// A request as another proxy sends it to the proxy beside server 0.
+  Request peerRequest() {
+    Request peer = request("/one/x", "peer-" + std::to_string(next_++));
+    peer.headers["Deadline-Ms"] = "20000";
+    peer.headers["Ramppond-Instance"] = "i-0";
+    peer.headers["Ramppond-Service"] = "one";
+    peer.headers["Ramppond-Route"] = "r-one";
+    peer.headers["Ramppond-Patience-Ms"] = "1000";
+    return peer;
   }
   /// Keeps requests running at server 0 for `time`, each for kLongWork.
   void runLongRequests(Duration time) {
+    const TimePoint end = EventLoop::now() + time;
+    runLongRequestsUntil([end] { return EventLoop::now() >= end; });
+  }
+  /// Does so until `condition` holds. Returns false on a timeout.
+  bool runLongRequestsUntil(const std::function<bool()>& condition) {
     for (const auto& each : deployment_.servers) {
       each->work = kLongWork;
     }
-    const TimePoint end = EventLoop::now() + time;
+    const TimePoint end = EventLoop::now() + kTimeout;
     int answered = 0;
     int sent = 0;
-    while (EventLoop::now() < end) {
+    while (!condition() && EventLoop::now() < end) {
       sent += 1;
       deployment_.sendLater(0, request("/one/x", "long-" + std::to_string(next_++)),
                             [&](const Answer& answer) {
@@ -80,7 +99,9 @@
                             });
       deployment_.runFor(milliseconds(200));
     }
+    const bool held = condition();
     EXPECT_TRUE(deployment_.runUntil([&] { return answered == sent; }));
+    return held;
   }
   std::string log() const {
     std::ifstream file(deployment_.folder + "/log");
@@ -129,9 +150,8 @@
 
 TEST_F(ServerLoadTest, HealthPathIsQueriedWithinBoundWhileRequestsRun) {
   reportOnAllServers("1,0,8,200");
-  runLongRequests(3 * kSecond);
   const std::vector<TimePoint>& queries = server().health_queries;
-  EXPECT_GT(queries.size(), kMaximumQueriesPerSecond);
+  EXPECT_TRUE(runLongRequestsUntil([&] { return queries.size() > 2 * kMaximumQueriesPerSecond; }));
   EXPECT_LE(maxInSecond(queries), kMaximumQueriesPerSecond);
   RecordProperty("queries", static_cast<int>(queries.size()));
   RecordProperty("most_in_a_second", static_cast<int>(maxInSecond(queries)));
@@ -156,8 +176,9 @@
   for (const auto& each : deployment_.servers) {
     each->answers_health = false;
   }
-  runLongRequests(4 * kSecond);
-  EXPECT_GT(server().health_queries.size(), 2U) << "a late answer ended the queries";
+  EXPECT_TRUE(runLongRequestsUntil([&] {
+    return server().health_queries.size() > kMaximumQueriesPerSecond;
+  })) << "a late answer ended the queries";
   EXPECT_LE(maxInSecond(server().health_queries), kMaximumQueriesPerSecond);
   EXPECT_EQ(deployment_.send(0, request("/one/x", "after")).status, 200);
   EXPECT_EQ(log().find("\"event\":\"breaker\""), std::string::npos);
@@ -170,24 +191,35 @@
   reportOnAllServers("1,0,8,100");
   server().work = milliseconds(40);
   for (int number = 0; number < 32; ++number) {
-    runAsPeer();  // until the estimated service time is close to 40 ms
+    runAsPeer();  // until the estimated service time is close to that of this server
   }
-  reportOnAllServers("1,0,8,1000");
-  runAsPeer();
-  for (const auto& each : deployment_.servers) {
-    each->work = 2 * kSecond;
-  }
-  constexpr int kMoreThanSlotsOfService = 20;
+  ASSERT_TRUE(deployment_.runUntil([&] { return partOfLoad(ping(), kUnderWayPart) == 0; }));
+  // Refused at once, so that its own duration is not part of the reported time.
+  const std::string refused = runAsPeer("1000", "r-one", "other");
+  const std::int64_t service_time = partOfLoad(refused, kServiceTimePart);
+  const std::int64_t limit = partOfLoad(ping(), kLimitPart);
+  ASSERT_GT(service_time, 0);
+  ASSERT_GT(limit, 0);
+  // A further request is expected to wait service_time/limit at usual speed, ten times that at the
+  // reported one. Its patience is between the two.
+  const std::string patience_ms =
+      std::to_string(3 * Duration(service_time) / limit / milliseconds(1));
+  server().holds_answers = true;
   int answered = 0;
-  for (int number = 0; number < kMoreThanSlotsOfService; ++number) {
-    deployment_.sendLater(0, request("/one/x", "fill-" + std::to_string(next_++)),
-                          [&](const Answer&) { answered += 1; });
+  for (int number = 0; number < limit; ++number) {
+    deployment_.sendLaterAsPeer(0, peerRequest(), [&](const Answer&) { answered += 1; });
   }
-  deployment_.runFor(milliseconds(300));
-  // Expected to wait 6 ms at usual speed and 60 ms at the reported one.
-  const std::string response = runAsPeer("30");
-  EXPECT_NE(response.find("Ramppond-Outcome: busy;queue\r\n"), std::string::npos) << response;
-  EXPECT_TRUE(deployment_.runUntil([&] { return answered == kMoreThanSlotsOfService; }));
+  ASSERT_TRUE(deployment_.runUntil([&] { return partOfLoad(ping(), kUnderWayPart) == limit; }));
+  const std::string at_usual_speed = runAsPeer(patience_ms);
+  EXPECT_NE(at_usual_speed.find("Ramppond-Outcome: busy;waited\r\n"), std::string::npos)
+      << at_usual_speed;
+  // The health path reports the slowdown, since no request ends.
+  reportOnAllServers("1,0,8,1000");
+  EXPECT_TRUE(deployment_.runUntil([&] {
+    return runAsPeer(patience_ms).find("Ramppond-Outcome: busy;queue\r\n") != std::string::npos;
+  }));
+  server().releaseAnswers();
+  EXPECT_TRUE(deployment_.runUntil([&] { return answered == limit; }));
 }
 
 // Times must be measured at usual speed, or the slowdown would count twice: 1 s in place of 100 ms.
@@ -212,6 +244,17 @@
   }));
 }
 
+// A server that sends nothing else must be visible to the operator.
+TEST_F(ServerLoadTest, UnreadableReportsAreCountedAndLogged) {
+  reportOnAllServers("text");
+  EXPECT_TRUE(deployment_.runUntil([&] {
+    runAsPeer();
+    const std::string logged = log();
+    return logged.find("\"reports\":\"0\",\"unreadable\":\"") != std::string::npos &&
+           logged.find("found 'text' in one of 1\"") != std::string::npos;
+  }));
+}
+
 // A restarted proxy knows nothing until its server responds.
 TEST_F(ServerLoadTest, RestartedProxyLearnsSlowdownAndQueriesAgain) {
   reportOnAllServers("1,0,8,300");
@@ -221,8 +264,7 @@
   ASSERT_TRUE(deployment_.runUntil(
       [&] { return runAsPeer().find(std::string(kSlowdownField) + "300") != std::string::npos; }));
   server().health_queries.clear();
-  runLongRequests(2 * kSecond);
-  EXPECT_FALSE(server().health_queries.empty());
+  EXPECT_TRUE(runLongRequestsUntil([&] { return !server().health_queries.empty(); }));
 }
 
 TEST_F(ServerLoadTest, SettingOffIgnoresReports) {
