--- a/daemon/proxy/peer_ping.cc
+++ b/daemon/proxy/peer_ping.cc
@@ -48,6 +48,9 @@
   auto head = HttpHead();
   head.status = kOk;
   head.fields.push_back({std::string(kPeerLoad), formatLoad(load)});
+  if (load.slowdown_percent) {
+    head.fields.push_back({std::string(kPeerSlowdown), std::to_string(*load.slowdown_percent)});
+  }
   exchange.respond(std::move(head), "");
 }
 
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -34,6 +34,7 @@
 #include "daemon/proxy/retry_order.h"
 #include "daemon/proxy/return_times.h"
 #include "daemon/proxy/upload_buffers.h"
+#include "daemon/proxy/server_load_monitor.h"
 #include "daemon/proxy/waiting_requests.h"
 #include "net/stream/event_loop.h"
 #include "net/stream/http_client.h"
@@ -86,6 +87,7 @@
   InstanceDirectory directory;
   proxy_counters counters;
   own_server own;
+  server_load_monitor server_load;
   call_attribution calls;        ///< Calls of the local server.
   downstream_overload overload;  ///< By route of the requests that originate on this machine.
   crash_guard guard;             ///< Guards the local server.
--- a/tests/platform/fake_platform.cc
+++ b/tests/platform/fake_platform.cc
@@ -9,6 +9,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <utility>
 
 namespace ramppond::fake_platform {
 namespace {
@@ -16,6 +17,7 @@
 constexpr Duration kConditionTimeout = seconds(20);
 constexpr std::size_t kMaximumBodyBytes = 1U << 20U;
 constexpr Duration kHeartbeatInterval = milliseconds(300);
+constexpr char kHealthPath[] = "/health";
 
 /// Returns distinct ports of one address, chosen by the kernel. All sockets stay open until all
 /// ports are chosen, so that no port is chosen twice.
@@ -219,7 +221,24 @@
   });
 }
 
+void AppServer::serveHealth(const std::shared_ptr<ServerExchange>& exchange) {
+  health_queries.push_back(EventLoop::now());
+  if (!answers_health) {
+    return;
+  }
+  HttpHead head;
+  head.status = 200;
+  if (!load_report.empty()) {
+    head.fields.push_back({"Server-Load", load_report});
+  }
+  exchange->respond(std::move(head), "");
+}
+
 void AppServer::serve(const std::shared_ptr<ServerExchange>& exchange) {
+  if (exchange->request().target == kHealthPath) {
+    serveHealth(exchange);
+    return;
+  }
   arrivals.push_back(EventLoop::now());
   const std::weak_ptr<ServerExchange> weak = exchange;
   exchange->setHandler(
@@ -227,14 +246,28 @@
         const auto timer = std::make_shared<LoopTimer>(loop_);
         timers_.push_back(timer);
         timer->after(work, [this, weak, body] {
-          const auto alive = weak.lock();
-          if (alive != nullptr) {
-            finishWork(alive, body);
+          const auto finish = [this, weak, body] {
+            const auto alive = weak.lock();
+            if (alive != nullptr) {
+              finishWork(alive, body);
+            }
+          };
+          if (holds_answers) {
+            held_answers_.emplace_back(finish);
+          } else {
+            finish();
           }
         });
       }));
 }
 
+void AppServer::releaseAnswers() {
+  holds_answers = false;
+  for (const auto& finish : std::exchange(held_answers_, {})) {
+    finish();
+  }
+}
+
 bool AppServer::shouldCrash(const HttpHead& request) const {
   const std::string expected = request.get("Expect-Instance");
   const bool meant = expected.empty() || expected == instance_;
@@ -275,6 +308,9 @@
   if (!named_limit.empty()) {
     head.fields.push_back({"Server-Limit", named_limit});
   }
+  if (!load_report.empty()) {
+    head.fields.push_back({"Server-Load", load_report});
+  }
   if (reports_leaving) {
     head.fields.push_back({"Server-Leaving", "1"});
   }
@@ -451,9 +487,19 @@
 
 void Deployment::sendLater(int machine, const Request& request,
                            std::function<void(const Answer&)> done) {
+  startLater(serverHost(machine), ports.clients, request, std::move(done));
+}
+
+void Deployment::sendLaterAsPeer(int machine, const Request& request,
+                                 std::function<void(const Answer&)> done) {
+  startLater(serverHost(machine), ports.peers, request, std::move(done));
+}
+
+void Deployment::startLater(const std::string& host, std::uint16_t port, const Request& request,
+                            std::function<void(const Answer&)> done) {
   const auto handler = std::make_shared<AnswerCollector>(std::move(done));
   const BodyFraming framing = request.body.empty() ? BodyFraming::kNone : BodyFraming::kLength;
-  HttpClientPool& clients = pool(serverHost(machine), ports.clients);
+  HttpClientPool& clients = pool(host, port);
   sent_later_.push_back(
       {handler, clients.start(makeHead(request), framing, request.body, true, handler)});
 }
