Proxy: fair_shares, retry_order and return_times follow the settings of a running proxy

Cause: switching a part off needed a restart. Change: the modes are read again with the seeds; the line optional_parts tells which parts are active.

--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -16,6 +16,10 @@
   return options;
 }
 
+std::string on_or_off(bool active) {
+  return active ? "on" : "off";
+}
+
 }  // namespace
 
 ProxyContext::ProxyContext(EventLoop& event_loop, const ExternalApi& external,
@@ -46,14 +50,34 @@
   }
 }
 
+void ProxyContext::update_features() {
+  const bool has_tenants = traffic != nullptr && !traffic->configuration.tenants.empty();
+  active_features next;
+  next.fair_shares = is_active(settings.fair_shares, has_tenants);
+  next.retry_order = is_active(settings.retry_order, has_tenants);
+  next.return_times = is_active(settings.return_times, has_tenants);
+  if (next == features) {
+    return;
+  }
+  features = next;
+  logEvent(EventLoop::now().count(), "optional_parts",
+           {{"fair_shares", on_or_off(features.fair_shares)},
+            {"retry_order", on_or_off(features.retry_order)},
+            {"return_times", on_or_off(features.return_times)}});
+}
+
+void ProxyContext::set_feature_modes(const ProxySettings& read) {
+  settings.fair_shares = read.fair_shares;
+  settings.retry_order = read.retry_order;
+  settings.return_times = read.return_times;
+  update_features();
+}
+
 void ProxyContext::set_traffic(TrafficConfiguration taken) {
-  const bool has_tenants = !taken.tenants.empty();
-  features.fair_shares = is_active(settings.fair_shares, has_tenants);
-  features.retry_order = is_active(settings.retry_order, has_tenants);
-  features.return_times = is_active(settings.return_times, has_tenants);
   own.set_services(taken.services);
   quotas.set_limits(taken.tenants);
   traffic = std::make_shared<const TrafficInForce>(std::move(taken));
+  update_features();
 }
 
 }  // namespace ramppond
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -63,6 +63,10 @@
   bool retry_order = false;
   bool return_times = false;
 
+  auto operator==(const active_features& other) const -> bool {
+    return this->fair_shares == other.fair_shares && this->retry_order == other.retry_order &&
+           this->return_times == other.return_times;
+  }
   /// Whether proxies tell each other the root of each call tree.
   [[nodiscard]] auto needs_roots() const -> bool { return this->fair_shares || this->retry_order; }
 };
@@ -74,6 +78,11 @@
 
   /// Puts `taken` in force.
   void set_traffic(TrafficConfiguration taken);
+  /// Takes the modes of fair_shares, retry_order and return_times from settings that were read
+  /// again, so that an operator can switch a part off without a restart.
+  void set_feature_modes(const ProxySettings& read);
+  /// Applies modes and configuration; logs the event `optional_parts` if a part changes.
+  void update_features();
 
   EventLoop& loop;
   const ExternalApi& api;
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -223,8 +223,8 @@
   loop_.stop();
 }
 
-// Called on SIGHUP and periodically, since the file may change without a signal. Only the seeds can
-// change while the process runs.
+// Called on SIGHUP and periodically, since the file may change without a signal. Only the seeds
+// and the modes of some optional parts can change while the process runs.
 void ProxyProcess::rereadSettings(bool by_signal) {
   if (!settings_watch_.changed()) {
     return;
@@ -237,6 +237,7 @@
     return;
   }
   session_.setSeeds(addressesAtPort(settings->seeds, settings->member_port));
+  context_.set_feature_modes(*settings);
   logEvent(now, "settings_taken", {{"signal", by_signal ? "yes" : "no"}});
 }
 
