--- a/core/answers/front_shedding.h
+++ b/core/answers/front_shedding.h
@@ -27,4 +27,11 @@
 auto refusing_overload(const std::vector<service_overload>& below, std::uint32_t less_urgent,
                        Random& random) -> const service_overload*;
 
+/// Returns whether a client's request is refused because its caller exceeds its fair share.
+/// `share`: the share of the caller's requests to refuse; see share_shedding. Draws no random
+/// number if it is 0.
+inline auto refused_beyond_share(double share, Random& random) -> bool {
+  return share > 0 && random.uniform() < share;
+}
+
 }  // namespace ramppond
--- a/daemon/proxy/forwarded_answer.cc
+++ b/daemon/proxy/forwarded_answer.cc
@@ -64,6 +64,10 @@
   auto levels = parseOverload(head.find(kPeerOverload));
   levels = highest_levels(std::move(levels), {{params_.service, load->shed}});
   context_.overload.on_answer(params_.route->name, levels, now);
+  if (context_.features.fair_shares && params_.root) {
+    context_.shares.on_answer(params_.service, params_.root->caller,
+                              parseExcess(head.find(kPeerShare)), params_.caller_shed_share, now);
+  }
 }
 
 void ForwardedRequest::recordPeerAnswer(const peer_answer& answer) {
--- a/daemon/proxy/forwarded_params.cc
+++ b/daemon/proxy/forwarded_params.cc
@@ -100,6 +100,11 @@
       request_root{this->rank, this->may_run_twice(), caller_name(tenant_name, this->route->name)};
 }
 
+auto forwarded_params::is_beyond_share(ProxyContext& context) -> bool {
+  this->caller_shed_share = context.shares.share(this->service, this->root->caller, this->received);
+  return refused_beyond_share(this->caller_shed_share, context.random);
+}
+
 auto forwarded_params::shed(ProxyContext& context, Duration requested_time)
     -> std::optional<own_answer> {
   this->attributed = context.calls.on_request(this->route->name, this->received + requested_time);
@@ -110,6 +115,9 @@
   if (this->is_call) {
     return std::nullopt;
   }
+  if (context.features.fair_shares && this->is_beyond_share(context)) {
+    return answer_downstream_overload(this->service);
+  }
   const auto overloads = context.overload.of(this->route->name, this->received);
   if (overloads.empty()) {
     return std::nullopt;
--- a/daemon/proxy/forwarded_params.h
+++ b/daemon/proxy/forwarded_params.h
@@ -28,6 +28,7 @@
   bool is_call = false;  // a call of the local server, or possibly one
   attributed_request attributed;
   std::optional<request_root> root;  // of its call tree; absent if unknown or not in use
+  double caller_shed_share = 0;      // share of its caller's requests refused when it was admitted
 
   /// Resolves the remaining members for a request received at `received`, and removes its
   /// credential from `head`. Returns the answer if the request is refused; the members resolved
@@ -45,6 +46,8 @@
   auto check_quota(ProxyContext& context) -> std::optional<own_answer>;
   void resolve_root();
   auto shed(ProxyContext& context, Duration requested_time) -> std::optional<own_answer>;
+  // Whether it is refused because its caller exceeds its share of the service.
+  auto is_beyond_share(ProxyContext& context) -> bool;
 };
 
 }  // namespace ramppond
--- a/daemon/proxy/inbound_answer.cc
+++ b/daemon/proxy/inbound_answer.cc
@@ -121,12 +121,25 @@
   }
 }
 
+reported_excess InboundRequest::reportedExcess() const {
+  if (!context_.features.fair_shares) {
+    return {};
+  }
+  const TimePoint now = EventLoop::now();
+  const double own = context_.own.admission().excessOf(admission_, now);
+  const auto caller = admission_.root ? admission_.root->caller : std::string();
+  return higher_excess(own, context_.shares.highest(caller, now));
+}
+
 void InboundRequest::addLoadHeaders(HttpHead& head) {
   const ServerLoad load = context_.own.load(route_);
   head.fields.push_back({std::string(kPeerLoad), formatLoad(load)});
   if (load.rate) {
     head.fields.push_back({std::string(kPeerRate), formatRate(*load.rate)});
   }
+  if (const auto excess = reportedExcess(); excess.permille > 0) {
+    head.fields.push_back({std::string(kPeerShare), std::to_string(excess.permille)});
+  }
   const std::string levels = formatOverload(
       downstream_overload_of(route_, context_.calls, context_.overload, EventLoop::now()));
   if (!levels.empty()) {
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -58,6 +58,7 @@
   admission_.patience = parseMilliseconds(head.find(kPeerPatienceMs)).value_or(Duration(0));
   admission_.is_call = head.find(kPeerCall) != nullptr;
   admission_.root = parseRoot(head.find(kPeerRoot));
+  admission_.calling_service = head.get(context_.api.headers().caller_service);
   admission_.reference_wait = reference_wait(admission_.patience, admission_.is_call);
   head.removeHopByHop();
   retryable_ = head.find(kPeerRetryable) != nullptr;
@@ -236,6 +237,12 @@
   exchange_->resumeRequestBody();
 }
 
+void InboundRequest::onEvicted() {
+  if (state_ == State::kAwaitingAdmission) {
+    refuse(inbound_refusal::queue_full);
+  }
+}
+
 void InboundRequest::onQueueTimeout() {
   if (state_ == State::kAwaitingAdmission) {
     if (context_.own.admission().isRateLimited()) {
@@ -260,7 +267,7 @@
   const bool sent = upstream_ != nullptr && upstream_->sent();
   const bool reused = upstream_ != nullptr && upstream_->reusedConnection();
   const Duration since_failed_call = EventLoop::now() - context_.last_failed_forward;
-  context_.own.on_ended({route_, begun_, outcome, sent, reused, since_failed_call});
+  context_.own.on_ended({route_, begun_, outcome, sent, reused, since_failed_call, admission_.id});
   context_.waiting.dispatch_ready();
 }
 
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -28,6 +28,8 @@
 
   /// The request was admitted and counts as in flight at the server.
   void onAdmitted();
+  /// The request was removed from the full queue in favour of a caller within its share.
+  void onEvicted();
   /// The request reached its maximum queueing time.
   void onQueueTimeout();
   /// No other suspected request runs at the server: this one may run in isolation.
@@ -84,6 +86,8 @@
   /// Adds the local server's load, and the overload of services further down, for the sending
   /// proxy.
   void addLoadHeaders(HttpHead& head);
+  /// The excess of the request's caller at the local server or at services further down.
+  [[nodiscard]] reported_excess reportedExcess() const;
   [[nodiscard]] answer_progress answerProgress() const;
   /// The request was abandoned; the server may keep working on it for a moment.
   void reportAbandonedRun();
--- a/daemon/proxy/own_server.cc
+++ b/daemon/proxy/own_server.cc
@@ -83,6 +83,25 @@
             {"refused", std::to_string(this->refused_for_rate)}});
 }
 
+void own_server::log_fair_shares() {
+  if (!this->admission_control.shares()) {
+    return;
+  }
+  const auto now = EventLoop::now();
+  const auto summary = this->admission_control.shares()->summary(now);
+  const auto refused = summary.refused - std::min(summary.refused, this->refused_for_others);
+  this->refused_for_others = summary.refused;
+  if (summary.callers_beyond == 0 && refused == 0) {
+    return;
+  }
+  logEvent(now.count(), "fair_shares",
+           {{"callers", std::to_string(summary.callers)},
+            {"beyond", std::to_string(summary.callers_beyond)},
+            {"largest", summary.largest},
+            {"largest_share", std::to_string(summary.largest_share)},
+            {"refused", std::to_string(refused)}});
+}
+
 void own_server::log_unreadable(const std::string& incarnation, const named_limit& answered) {
   const auto* unreadable = std::get_if<unreadable_limit>(&answered);
   const auto now = EventLoop::now();
@@ -167,7 +186,7 @@
   const auto now = EventLoop::now();
   this->service_durations.on_ended(run.route, run.begun, isCompletedRun(run.outcome), now);
   this->update_breaker(run, now);
-  this->admission_control.onFinished(run.begun, run.outcome, now);
+  this->admission_control.onFinished(run.begun, run.outcome, now, run.id);
   if (!run.sent) {
     this->admission_control.onNotSent(now);
   }
--- a/daemon/proxy/own_server.h
+++ b/daemon/proxy/own_server.h
@@ -31,6 +31,7 @@
   bool sent = true;                // sent to the server, which may have received part of it
   bool reused_connection = false;  // a previously idle connection to the server was used
   Duration since_failed_call{0};   // see signal_of() in core/admission/run_outcome.h
+  AdmissionId id = 0;
 };
 
 class own_server {
@@ -85,6 +86,9 @@
   /// Logs the event `server_limit_use` if the server currently announces a rate limit. Call
   /// whenever the counters are logged.
   void log_limit_use() const;
+  /// Logs the event `fair_shares` if fair shares are active and some caller exceeds its share. Call
+  /// once a second.
+  void log_fair_shares();
 
   [[nodiscard]] auto reports() const -> const LocalServer& { return this->server; }
   [[nodiscard]] auto connections() -> HttpClientPool& { return this->pool; }
@@ -103,9 +107,10 @@
   service_times service_durations;
   circuit_breaker breaker;
   effective_limit announced_limit;
-  std::uint64_t dispatched = 0;        // requests since the start of this proxy
-  std::uint64_t refused_for_rate = 0;  // requests refused for the announced limit since then
-  std::string tracked_incarnation;     // of service_durations, breaker and announced_limit
+  std::uint64_t dispatched = 0;          // requests since the start of this proxy
+  std::uint64_t refused_for_rate = 0;    // requests refused for the announced limit since then
+  std::string tracked_incarnation;       // of service_durations, breaker and announced_limit
+  std::uint64_t refused_for_others = 0;  // as logged last
   DecisionLimit unreadable_log{"server_limit_unreadable"};
   std::vector<ServiceDefinition> services;
 };
--- a/daemon/proxy/peer_headers.cc
+++ b/daemon/proxy/peer_headers.cc
@@ -20,6 +20,7 @@
 constexpr std::size_t kMaxOverloadEntries = 32;
 constexpr double kThousand = 1000;
 constexpr std::uint64_t kMaxPermille = 1000000;
+constexpr std::uint64_t kMaxExcessPermille = 1000;
 constexpr std::size_t kMaxCallerBytes = 96;
 constexpr std::size_t kEncodedByteLength = 3;
 constexpr std::string_view kHexDigits = "0123456789ABCDEF";
@@ -153,6 +154,19 @@
   return request_root{static_cast<std::uint32_t>(rank), repeatable, std::move(*caller)};
 }
 
+reported_excess parseExcess(const std::string* text) {
+  if (text == nullptr || text->empty() ||
+      std::isdigit(static_cast<unsigned char>((*text)[0])) == 0) {
+    return {};
+  }
+  char* end = nullptr;
+  const std::uint64_t permille = std::strtoull(text->c_str(), &end, 10);
+  if (*end != '\0') {
+    return {};
+  }
+  return {static_cast<std::uint32_t>(std::min(permille, kMaxExcessPermille))};
+}
+
 std::string formatOverload(const std::vector<service_overload>& levels) {
   std::string text;
   for (const service_overload& entry : levels) {
--- a/daemon/proxy/peer_headers.h
+++ b/daemon/proxy/peer_headers.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "core/admission/downstream_overload.h"
+#include "core/admission/share_shedding.h"
 #include "core/placement/instance_directory.h"
 #include "core/request_root.h"
 #include "net/stream/http_head.h"
@@ -54,6 +55,10 @@
 /// Answers: the load of the server: "limit/under way/waiting/service time in
 /// microseconds/thousandths of recent requests that failed/shed level in thousandths of a rank".
 constexpr std::string_view kPeerLoad = "Ramppond-Load";
+/// Answers: thousandths of the recent requests of this request's caller that exceeded its fair
+/// share at the server, or at a service that the server's calls need, whichever is more. Absent if
+/// 0.
+constexpr std::string_view kPeerShare = "Ramppond-Share";
 
 /// Answers: the rate limit that the server announces: "requests a second/demand as a multiple of
 /// it", both in thousandths. Absent while the server announces none.
@@ -98,6 +103,8 @@
 std::string formatRoot(const request_root& root);
 /// Returns std::nullopt if the text is malformed.
 std::optional<request_root> parseRoot(const std::string* text);
+/// Returns no excess if the text is missing or malformed; larger values than 1000 are clamped.
+reported_excess parseExcess(const std::string* text);
 /// Leaves out services whose names contain separators.
 std::string formatOverload(const std::vector<service_overload>& levels);
 /// Skips malformed entries.
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -45,6 +45,7 @@
 void ProxyContext::set_traffic(TrafficConfiguration taken) {
   const bool has_tenants = !taken.tenants.empty();
   features.fair_shares = is_active(settings.fair_shares, has_tenants);
+  own.admission().setFairShares(features.fair_shares);
   features.retry_order = is_active(settings.retry_order, has_tenants);
   features.return_times = is_active(settings.return_times, has_tenants);
   own.set_services(taken.services);
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -13,6 +13,7 @@
 
 #include "common/event_log.h"
 #include "core/admission/downstream_overload.h"
+#include "core/admission/share_shedding.h"
 #include "core/admission/shedding.h"
 #include "core/external/external_api.h"
 #include "core/placement/instance_directory.h"
@@ -84,6 +85,7 @@
   own_server own;
   call_attribution calls;        ///< Calls of the local server.
   downstream_overload overload;  ///< By route of the requests that originate on this machine.
+  share_shedding shares;         ///< By caller of the requests that originate on this machine.
   crash_guard guard;             ///< Guards the local server.
   peer_pools peers;
   retry_budgets budgets;
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -247,6 +247,7 @@
   context_.own.connections().sweep();
   context_.peers.sweep();
   rereadSettings(false);
+  context_.own.log_fair_shares();
   seconds_ += 1;
   context_.budgets.set_fleet_size(context_.directory.size(), seconds(seconds_));
   if (seconds_ % kCounterLogSeconds == 0) {
--- a/daemon/proxy/waiting_requests.cc
+++ b/daemon/proxy/waiting_requests.cc
@@ -45,10 +45,16 @@
       request->onQueueTimeout();
     }
   }
+  for (const auto id : this->admission.takeEvicted()) {
+    const auto request = this->remove(id);
+    if (request != nullptr) {
+      request->onEvicted();
+    }
+  }
   while (const auto id = this->admission.takeDispatchable(now)) {
     const auto request = this->remove(*id);
     if (request == nullptr) {
-      this->admission.onFinished(now, ServerOutcome::kWithdrawn, now);
+      this->admission.onFinished(now, ServerOutcome::kWithdrawn, now, *id);
       this->admission.onNotSent(now);
       continue;
     }
--- a/daemon/proxy/waiting_requests.h
+++ b/daemon/proxy/waiting_requests.h
@@ -1,8 +1,9 @@
 // The requests of peers that are queued for the local server.
 //
 // Applies the decisions of core/admission/server_admission.h: dispatches each request in its turn,
-// or tells it that its maximum queueing time is over. Relies on an event loop and an admission that
-// outlive it, and runs on the loop's thread. Does not keep requests alive.
+// or tells it that its maximum queueing time is over or that it was evicted from the full queue.
+// Relies on an event loop and an admission that outlive it, and runs on the loop's thread. Does not
+// keep requests alive.
 #pragma once
 
 #include <map>
@@ -22,8 +23,8 @@
   /// Returns a new id, unique within this proxy.
   auto next_id() -> AdmissionId;
 
-  /// Queues `request`, which the admission told to wait. Its onAdmitted() or onQueueTimeout()
-  /// follows.
+  /// Queues `request`, which the admission told to wait. Its onAdmitted(), onQueueTimeout() or
+  /// onEvicted() follows.
   void add(AdmissionId id, std::weak_ptr<InboundRequest> request);
 
   /// Removes a request whose sender is gone; neither callback follows.
