--- a/core/admission/fair_shares.cc
+++ b/core/admission/fair_shares.cc
@@ -11,8 +11,8 @@
 // A request that holds a slot for longer is charged this much, so that a single one, or a wrong
 // value, does not put its caller beyond its share for long.
 constexpr auto max_cost = seconds(10);
-// Time constant of the recent work. With a shorter one bursts of single callers look like an excess;
-// with a longer one a caller that grows is known late.
+// Time constant of the recent work. With a shorter one bursts of single callers look like an
+// excess; with a longer one a caller that grows is known late.
 constexpr auto recent_time = milliseconds(1000);
 // Interval between two divisions. With a longer one the shares follow the demand late; with a
 // shorter one each request costs more.
@@ -23,6 +23,10 @@
 // A caller with less recent work than so many of its requests is within its share: so few say
 // nothing of its volume.
 constexpr double min_requests = 4;
+// If more callers of a rank are beyond their shares, its requests are queued in the usual order:
+// there is hardly anyone to protect, and calls that are refused waste the work done for their call
+// trees.
+constexpr double max_part_beyond = 0.75;
 // A caller is alone if no other has sent a request for this time: longer than the usual interval
 // between the requests of a caller that uses the server at all.
 constexpr auto alone_after = seconds(5);
@@ -133,12 +137,16 @@
   for (auto it = demands.begin(); it != demands.end();) {
     auto& rank = this->ranks[it->rank];
     rank.fair_work = std::numeric_limits<double>::infinity();
+    rank.is_overloaded_by_most = false;
     const auto end = std::find_if(it, demands.end(),
                                   [&](const demand& other) { return other.rank != it->rank; });
+    const auto callers = static_cast<double>(std::distance(it, end));
     for (; it != end; ++it) {
       const auto part = left / static_cast<double>(std::distance(it, end));
       if (it->work > part) {
         rank.fair_work = part;
+        rank.is_overloaded_by_most =
+            static_cast<double>(std::distance(it, end)) > callers * max_part_beyond;
         left = 0;
         it = end;
         break;
@@ -168,7 +176,8 @@
   this->recent.insert(caller);
   auto& rank = this->rank_of(*caller);
   note_offer(rank, *caller, now);
-  caller->deficit = std::min(1.0, caller->deficit + 1 - excess_in(rank, *caller, now));
+  const auto excess = rank.is_overloaded_by_most ? 0 : excess_in(rank, *caller, now);
+  caller->deficit = std::min(1.0, caller->deficit + 1 - excess);
   if (caller->deficit < 1) {
     return share_standing::beyond;
   }
--- a/core/admission/fair_shares.h
+++ b/core/admission/fair_shares.h
@@ -8,14 +8,14 @@
 //
 // The recent work of a caller is the slot time that it asked for, decaying with its age. The slots
 // are divided among the callers of the most urgent rank by water-filling: a caller that asks for
-// less than an equal part leaves the rest to the others (max-min fairness). What is left goes to the
-// next rank. Of a caller that asks for more than its part, a request is within its share whenever
-// its deficit counter allows it (as in deficit round robin; Shreedhar and Varghese, 1995), so that
-// the work within its share is just its part.
+// less than an equal part leaves the rest to the others (max-min fairness). What is left goes to
+// the next rank. Of a caller that asks for more than its part, a request is within its share
+// whenever its deficit counter allows it (as in deficit round robin; Shreedhar and Varghese, 1995),
+// so that the work within its share is just its part.
 //
 // Demand is measured over a second, not by the requests that are open at the moment: those of most
-// callers are few, and a burst of three would look like an excess. The division is renewed ten times
-// a second among the callers of the last seconds, which adds O(log callers) to each request.
+// callers are few, and a burst of three would look like an excess. The division is renewed ten
+// times a second among the callers of the last seconds, which adds O(log callers) to each request.
 #pragma once
 
 #include <cstdint>
@@ -103,6 +103,7 @@
   struct rank_state {
     /// A caller with more recent work is beyond its share.
     double fair_work = std::numeric_limits<double>::infinity();
+    bool is_overloaded_by_most = false;  ///< Most of its callers are beyond their shares.
     std::size_t accounts = 0;
     std::size_t queued_callers = 0;
     const account* latest = nullptr;  ///< Caller of the latest request.
--- a/core/admission/share_shedding.cc
+++ b/core/admission/share_shedding.cc
@@ -11,7 +11,7 @@
 constexpr auto smoothing_time = milliseconds(300);
 // Part of the refused share that an answer without excess confirms. The rest is released, so that a
 // caller that returns to its usual volume is served within seconds.
-constexpr double confirmed_part = 0.95;
+constexpr double confirmed_part = 0.9;
 // Time constant of the decay of an excess that is no longer reported; as that of a shed level in
 // downstream_overload.cc.
 constexpr auto unreported_decay_time = milliseconds(1000);
--- a/tests/daemon/proxy/peer_headers_test.cc
+++ b/tests/daemon/proxy/peer_headers_test.cc
@@ -94,6 +94,17 @@
   EXPECT_TRUE(parseRoot(&text));
 }
 
+TEST(peer_headers, parse_excess_clamps_and_rejects_malformed_text) {
+  const std::string valid = "250";
+  const std::string huge = "99999999999999999999999";
+  EXPECT_EQ(parseExcess(&valid).permille, 250U);
+  EXPECT_EQ(parseExcess(&huge).permille, 1000U);
+  EXPECT_EQ(parseExcess(nullptr).permille, 0U);
+  for (const std::string text : {"", "x", "-1", "+1", " 1", "1x", "1,2"}) {
+    EXPECT_EQ(parseExcess(&text).permille, 0U) << text;
+  }
+}
+
 TEST(peer_headers, parse_root_rejects_malformed_text) {
   EXPECT_FALSE(parseRoot(nullptr));
   for (const std::string text : {"", "1", "1/", "/1/x", "x/1/y", "1/2/x", "1/1", "-1/1/x",
