--- a/tests/core/answers/front_shedding_test.cc
+++ b/tests/core/answers/front_shedding_test.cc
@@ -89,5 +89,17 @@
         shedding_case{"neither_refuses", {{"desk", {0.1}}, {"records", {0.1}}}, 0, "", 2}),
     [](const auto& info) { return std::string(info.param.name); });
 
+TEST(front_shedding, refuses_the_share_of_a_caller_and_draws_no_number_for_none) {
+  auto random = Random(7);
+  auto refused = 0;
+  for (auto request = 0; request < 1000; ++request) {
+    refused += refused_beyond_share(0.4, random) ? 1 : 0;
+  }
+  EXPECT_NEAR(refused, 400, 60);
+  auto untouched = random;
+  EXPECT_FALSE(refused_beyond_share(0, random));
+  EXPECT_EQ(random.next(), untouched.next());
+}
+
 }  // namespace
 }  // namespace ramppond
