--- a/tests/core/admission/contended_machine_test.cc
+++ b/tests/core/admission/contended_machine_test.cc
@@ -122,7 +122,7 @@
       const auto done = this->running[id];
       this->running.erase(id);
       this->report();
-      this->admission.onFinished(done.begun, ServerOutcome::kAnswered, this->now,
+      this->admission.onFinished(done.begun, ServerOutcome::kAnswered, this->now, id,
                                  this->machine.work_clock(this->now) - done.begun_work);
       const auto in_time = this->now - done.arrived <= callers[done.kind].goal;
       this->counts.by_caller[done.kind].served_in_time += in_time ? 1 : 0;
