--- a/daemon/proxy/forwarded_params.cc
+++ b/daemon/proxy/forwarded_params.cc
@@ -102,6 +102,11 @@
       request_root{this->rank, this->may_run_twice(), caller_name(tenant_name, this->route->name)};
 }
 
+auto forwarded_params::is_beyond_share(ProxyContext& context) -> bool {
+  this->caller_shed_share = context.shares.share(this->service, this->root->caller, this->received);
+  return refused_beyond_share(this->caller_shed_share, context.random);
+}
+
 auto forwarded_params::shed(ProxyContext& context, const HttpHead& head)
     -> std::optional<own_answer> {
   this->attributed = context.calls.on_request(this->route->name, this->client_deadline);
@@ -113,6 +118,11 @@
     return std::nullopt;
   }
   const auto arrival = context.returns.on_arrival(*this, head);
+  // A client that was told when to return and does so is not refused again for its caller's share.
+  const bool charged = context.features.fair_shares && arrival != return_arrival::on_time;
+  if (charged && this->is_beyond_share(context)) {
+    return answer_downstream_overload(this->service);
+  }
   const auto overloads = context.overload.of(this->route->name, this->received);
   if (overloads.empty()) {
     return std::nullopt;
--- a/daemon/proxy/own_server.h
+++ b/daemon/proxy/own_server.h
@@ -33,6 +33,7 @@
   bool reused_connection = false;  // a previously idle connection to the server was used
   Duration since_failed_call{0};   // see signal_of() in core/admission/run_outcome.h
   std::optional<TimePoint> begun_work = std::nullopt;  // `begun` by machine_slowdown::work_clock()
+  AdmissionId id = 0;
 };
 
 class own_server {
@@ -96,6 +97,9 @@
   /// Logs the event `server_limit_use` if the server currently announces a rate limit. Call
   /// whenever the counters are logged.
   void log_limit_use() const;
+  /// Logs the event `fair_shares` if fair shares are active and some caller exceeds its share. Call
+  /// once a second.
+  void log_fair_shares();
 
   [[nodiscard]] auto reports() const -> const LocalServer& { return this->server; }
   [[nodiscard]] auto connections() -> HttpClientPool& { return this->pool; }
@@ -117,9 +121,10 @@
   circuit_breaker breaker;
   effective_limit announced_limit;
   machine_slowdown machine;
-  std::uint64_t dispatched = 0;        // requests since the start of this proxy
-  std::uint64_t refused_for_rate = 0;  // requests refused for the announced limit since then
-  std::string tracked_incarnation;     // of service_durations, breaker, announced_limit and machine
+  std::uint64_t dispatched = 0;          // requests since the start of this proxy
+  std::uint64_t refused_for_rate = 0;    // requests refused for the announced limit since then
+  std::string tracked_incarnation;       // of service_durations, breaker, limit and machine
+  std::uint64_t refused_for_others = 0;  // as logged last
   DecisionLimit unreadable_log{"server_limit_unreadable"};
   std::vector<ServiceDefinition> services;
 };
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -60,6 +60,7 @@
     return;
   }
   features = next;
+  own.admission().setFairShares(features.fair_shares);
   logEvent(EventLoop::now().count(), "optional_parts",
            {{"fair_shares", on_or_off(features.fair_shares)},
             {"retry_order", on_or_off(features.retry_order)},
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -254,6 +254,7 @@
   context_.placement.log();
   rereadSettings(false);
   context_.returns.log(EventLoop::now());
+  context_.own.log_fair_shares();
   seconds_ += 1;
   context_.budgets.set_fleet_size(context_.directory.size(), seconds(seconds_));
   if (seconds_ % kCounterLogSeconds == 0) {
