Fair shares: random variation around an equal part is no excess

Equal callers that exceed the service together were refused inside it. A request is charged at the current slowdown, stale limits of a rank end with its load, and a returning client's answer counts the share refused at its admission.

--- a/core/admission/fair_shares.cc
+++ b/core/admission/fair_shares.cc
@@ -23,6 +23,10 @@
 // A caller with less recent work than so many of its requests is within its share: so few say
 // nothing of its volume.
 constexpr double min_requests = 4;
+// A caller may exceed an equal part by so many times the square root of its requests in it: the
+// volume of equal callers varies so much, and calls that are refused for it waste the work done for
+// their call trees.
+constexpr double tolerated_deviations = 3;
 // If more callers of a rank are beyond their shares, its requests are queued in the usual order:
 // there is hardly anyone to protect, and calls that are refused waste the work done for their call
 // trees.
@@ -133,14 +137,17 @@
   }
   this->divided = now;
   const auto demands = this->recent_demands(now);
+  for (auto& [number, rank] : this->ranks) {
+    rank.fair_work = std::numeric_limits<double>::infinity();
+    rank.is_overloaded_by_most = false;
+  }
   auto left = capacity * divided_part * static_cast<double>(Duration(recent_time).count());
   for (auto it = demands.begin(); it != demands.end();) {
     auto& rank = this->ranks[it->rank];
-    rank.fair_work = std::numeric_limits<double>::infinity();
-    rank.is_overloaded_by_most = false;
     const auto end = std::find_if(it, demands.end(),
                                   [&](const demand& other) { return other.rank != it->rank; });
     const auto callers = static_cast<double>(std::distance(it, end));
+    rank.equal_work = left / callers;
     for (; it != end; ++it) {
       const auto part = left / static_cast<double>(std::distance(it, end));
       if (it->work > part) {
@@ -159,6 +166,10 @@
 auto fair_shares::excess_in(const rank_state& rank, const account& caller, TimePoint now)
     -> double {
   const auto work = caller.work_at(now);
+  const auto deviation = std::sqrt(rank.equal_work * caller.last_cost);
+  if (work <= rank.equal_work + deviation * tolerated_deviations) {
+    return 0;
+  }
   const auto share = std::max(rank.fair_work, caller.last_cost * min_requests);
   return work > share ? 1 - share / work : 0;
 }
--- a/core/admission/fair_shares.h
+++ b/core/admission/fair_shares.h
@@ -11,7 +11,10 @@
 // less than an equal part leaves the rest to the others (max-min fairness). What is left goes to
 // the next rank. Of a caller that asks for more than its part, a request is within its share
 // whenever its deficit counter allows it (as in deficit round robin; Shreedhar and Varghese, 1995),
-// so that the work within its share is just its part.
+// so that the work within its share is at most its part.
+//
+// The volume of equal callers varies at random. A caller that exceeds an equal part by no more than
+// such a variation is therefore within its share.
 //
 // Demand is measured over a second, not by the requests that are open at the moment: those of most
 // callers are few, and a burst of three would look like an excess. The division is renewed ten
@@ -103,6 +106,7 @@
   struct rank_state {
     /// A caller with more recent work is beyond its share.
     double fair_work = std::numeric_limits<double>::infinity();
+    double equal_work = 0;               ///< What each caller gets if all ask for it.
     bool is_overloaded_by_most = false;  ///< Most of its callers are beyond their shares.
     std::size_t accounts = 0;
     std::size_t queued_callers = 0;
--- a/core/admission/server_admission.cc
+++ b/core/admission/server_admission.cc
@@ -52,12 +52,14 @@
 }
 
 Duration ServerAdmission::costOf(const AdmissionRequest& request) const {
-  return request.service_time.value_or(service_time_.smoothed().value_or(kInitialServiceTime));
+  const Duration usual =
+      request.service_time.value_or(service_time_.smoothed().value_or(kInitialServiceTime));
+  return slowed(usual, request.slowdown);
 }
 
-double ServerAdmission::usableSlots(TimePoint now) const {
+double ServerAdmission::usableSlots(slowdown_factor slowdown, TimePoint now) const {
   const double slots = static_cast<double>(limit_);
-  const double service_seconds = std::chrono::duration<double>(serviceTime(now)).count();
+  const double service_seconds = std::chrono::duration<double>(serviceTime(now, slowdown)).count();
   return named_rate_ ? std::min(slots, named_rate_->per_second * service_seconds) : slots;
 }
 
@@ -114,7 +116,7 @@
     overload_.on_offer({utilization(now), Duration(0), request.reference_wait}, now);
     if (shares_) {
       const share_key key = shareKeyOf(request);
-      shares_->judge(key, costOf(request), usableSlots(now), now);
+      shares_->judge(key, costOf(request), usableSlots(request.slowdown, now), now);
       shares_->on_dispatched(request.id, key, costOf(request));
     }
     return AdmissionVerdict::kDispatch;
@@ -136,7 +138,8 @@
   const share_key key = shareKeyOf(request);
   const QueueOrder order =
       shares_->has_others_queued(key) ? QueueOrder::kByShareThenDue : QueueOrder::kByDue;
-  const share_standing standing = shares_->judge(key, costOf(request), usableSlots(now), now);
+  const share_standing standing =
+      shares_->judge(key, costOf(request), usableSlots(request.slowdown, now), now);
   position.beyond = standing == share_standing::beyond;
   const Waits waits = waitsAt(position, order, request.slowdown, now);
   // The level is for the callers within their shares: the others are told their excess.
--- a/core/admission/server_admission.h
+++ b/core/admission/server_admission.h
@@ -171,7 +171,7 @@
   [[nodiscard]] Duration costOf(const AdmissionRequest& request) const;
   Position positionOf(const AdmissionRequest& request, TimePoint now);
   /// Slots that can be in use when the server is full: fewer than the limit with a low rate.
-  [[nodiscard]] double usableSlots(TimePoint now) const;
+  [[nodiscard]] double usableSlots(slowdown_factor slowdown, TimePoint now) const;
   /// Decides on a request that cannot be dispatched at once.
   AdmissionVerdict offerToQueue(const AdmissionRequest& request, TimePoint now);
   /// Returns how the request would wait at `position`.
--- a/daemon/proxy/forwarded_params.cc
+++ b/daemon/proxy/forwarded_params.cc
@@ -119,8 +119,8 @@
   }
   const auto arrival = context.returns.on_arrival(*this, head);
   // A client that was told when to return and does so is not refused again for its caller's share.
-  const bool charged = context.features.fair_shares && arrival != return_arrival::on_time;
-  if (charged && this->is_beyond_share(context)) {
+  const bool is_beyond = context.features.fair_shares && this->is_beyond_share(context);
+  if (is_beyond && arrival != return_arrival::on_time) {
     return answer_downstream_overload(this->service);
   }
   const auto overloads = context.overload.of(this->route->name, this->received);
--- a/tests/core/admission/fair_shares_load_test.cc
+++ b/tests/core/admission/fair_shares_load_test.cc
@@ -143,5 +143,36 @@
         load_case{"proxy_restarted", forty_callers(3, 1, 1), 3, milliseconds(5), 0, seconds(15)}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// All callers together exceed the service; none of them harms the others.
+constexpr double min_completed = 0.92;  // as a multiple of what the current rule completes
+
+auto equal_callers(int number, double growth) -> std::vector<fleet_caller> {
+  auto callers = std::vector<fleet_caller>();
+  for (auto caller = 0; caller < number; ++caller) {
+    callers.push_back({std::to_string(caller), 1, 1, growth});
+  }
+  return callers;
+}
+
+class fair_shares_common_overload : public testing::TestWithParam<load_case> {};
+
+// Guards against trees of equal callers that are refused inside the service.
+TEST_P(fair_shares_common_overload, completes_about_as_many_trees_as_the_current_rule) {
+  const auto current = play(GetParam(), rule::current).completed;
+  const auto shares = play(GetParam(), rule::shed_at_the_edge).completed;
+  RecordProperty("completed_by_current_rule", std::to_string(current));
+  RecordProperty("completed_with_shares", std::to_string(shares));
+  EXPECT_GE(shares, current * min_completed) << current;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, fair_shares_common_overload,
+    testing::Values(load_case{"twice_the_load", equal_callers(40, 2 * room), 1},
+                    load_case{"twice_the_load_at_three_servers", equal_callers(40, 2 * room), 3},
+                    load_case{"four_times_the_load", equal_callers(40, 4 * room), 3},
+                    load_case{"slightly_too_much", equal_callers(40, 1.3 * room), 3},
+                    load_case{"few_callers", equal_callers(6, 2 * room), 3}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace ramppond
--- a/tests/core/admission/fair_shares_test.cc
+++ b/tests/core/admission/fair_shares_test.cc
@@ -62,6 +62,31 @@
   EXPECT_GT(run.shares.excess({2, "other"}, run.now), 0.5);
 }
 
+// Otherwise equal callers that exceed the service together are refused after work was done for
+// them.
+TEST(fair_shares, variation_around_an_equal_part_is_no_excess) {
+  auto run = offers();
+  auto load = std::vector<std::pair<share_key, int>>{{{1, "busier"}, 8}, {{1, "large"}, 40}};
+  for (auto number = 0; number < 8; ++number) {
+    load.push_back({{1, std::to_string(number)}, 5});
+  }
+  run.play(load, seconds(5));
+  EXPECT_EQ(run.shares.excess({1, "busier"}, run.now), 0);
+  EXPECT_GT(run.shares.excess({1, "large"}, run.now), 0.5);
+}
+
+// A limit from an earlier load must not outlive that load.
+TEST(fair_shares, limit_of_a_rank_ends_with_its_load) {
+  auto run = offers();
+  run.play({{{1, "large"}, 200}, {{1, "other"}, 1}}, seconds(5));
+  run.play({}, seconds(20));
+  run.play({{{1, "other"}, 1}, {{2, "new"}, 1}}, milliseconds(1500));
+  for (auto count = 0; count < 20; ++count) {
+    run.offer({1, "other"});
+  }
+  EXPECT_EQ(run.shares.excess({1, "other"}, run.now), 0);
+}
+
 // Otherwise the edge would shed requests of a caller that takes nothing from anybody.
 TEST(fair_shares, caller_that_is_alone_has_no_excess) {
   auto run = offers();
