Name the entries of the return schedule and split its refusal

The map holds reservations and clients remembered without one, so both are entries. "Slot" is a unit of a server's concurrency elsewhere, and "drain" a planned stop.

--- a/core/answers/return_schedule.cc
+++ b/core/answers/return_schedule.cc
@@ -57,15 +57,17 @@
   return round_up(time_left / usable_part) + milliseconds(1);
 }
 
-/// Returns the time of a client among those that are served in the time `drain`. Each returns after
-/// the same part of the time it can use, so that the mean is the time in which they are served.
-auto return_after(Duration drain, Duration usable, Duration mean_usable) -> Duration {
+/// Returns the time of a client among those that are served within `backlog_time`. Each returns
+/// after the same part of the time it can use, so that the mean is the time in which they are
+/// served.
+auto return_after(Duration backlog_time, Duration usable, Duration mean_usable) -> Duration {
   const bool scaled = usable >= retry_after_floor;
   const double part = scaled ? ratio(usable, mean_usable) : 1;
-  const auto time = static_cast<double>(drain.count()) * part;
+  const auto time = static_cast<double>(backlog_time.count()) * part;
   return std::max(round_up(Duration(static_cast<std::int64_t>(time))), retry_after_floor);
 }
 
+/// Returns how long a client can wait for its return and still be served.
 auto usable_time(Duration time_left, Duration run_time) -> Duration {
   return std::min({time_left / usable_part, time_left - run_time, Duration(max_return_time)});
 }
@@ -96,10 +98,11 @@
   if (now - known.since < min_rate_time) {
     return std::nullopt;
   }
-  const auto weights = (1 - decay(now - known.since)) *
-                       static_cast<double>(Duration(rate_time).count()) /
-                       Duration(seconds(1)).count();
-  const auto rate = known.served * decay(now - known.updated) / weights;
+  // Sum of the decaying weights of all seconds since the first report.
+  const auto weighted_seconds = (1 - decay(now - known.since)) *
+                                static_cast<double>(Duration(rate_time).count()) /
+                                Duration(seconds(1)).count();
+  const auto rate = known.served * decay(now - known.updated) / weighted_seconds;
   if (rate < min_rate) {
     return std::nullopt;
   }
@@ -108,77 +111,90 @@
   return Duration(static_cast<std::int64_t>(us_per_return));
 }
 
-auto return_schedule::own_slot(const client_identity& client) const
-    -> slots_of_client::const_iterator {
+auto return_schedule::own_entry(const client_identity& client) const
+    -> keys_by_digest::const_iterator {
   const auto [begin, end] = this->by_client.equal_range(client.digest);
   const auto found = std::find_if(begin, end, [&](const auto& entry) {
-    const auto deadline = this->reservations.at(entry.second).client.deadline;
+    const auto deadline = this->entries.at(entry.second).client.deadline;
     return std::chrono::abs(deadline - client.deadline) <= deadline_tolerance;
   });
   return found == end ? this->by_client.end() : found;
 }
 
-auto return_schedule::due_slot(const client_identity& client, TimePoint now) const
-    -> slots_of_client::const_iterator {
+auto return_schedule::due_entry(const client_identity& client, TimePoint now) const
+    -> keys_by_digest::const_iterator {
   const auto [begin, end] = this->by_client.equal_range(client.digest);
   const auto found = std::find_if(begin, end, [&](const auto& entry) {
     return entry.second.first - early_tolerance <= now &&
-           this->reservations.at(entry.second).has_capacity;
+           this->entries.at(entry.second).has_capacity;
   });
   return found == end ? this->by_client.end() : found;
 }
 
 auto return_schedule::on_arrival(const client_identity& client, TimePoint now) -> return_arrival {
   this->drop_missed(now);
-  auto found = this->own_slot(client);
+  auto found = this->own_entry(client);
   if (found != this->by_client.end() && found->second.first - early_tolerance > now) {
     this->totals.early += 1;
     return return_arrival::early;
   }
   if (found == this->by_client.end()) {
-    found = this->due_slot(client, now);
+    found = this->due_entry(client, now);
   }
   if (found == this->by_client.end()) {
     return return_arrival::new_request;
   }
-  const bool has_capacity = this->reservations.at(found->second).has_capacity;
+  const bool has_capacity = this->entries.at(found->second).has_capacity;
   this->release(found);
   this->totals.kept += has_capacity ? 1 : 0;
   return has_capacity ? return_arrival::on_time : return_arrival::new_request;
 }
 
+auto return_schedule::verdict_of_entry(const client_identity& client, TimePoint now) const
+    -> std::optional<return_verdict> {
+  const auto own = this->own_entry(client);
+  if (own == this->by_client.end() || own->second.first <= now) {
+    return std::nullopt;
+  }
+  const auto after = round_up(own->second.first - now);
+  const bool has_capacity = this->entries.at(own->second).has_capacity;
+  return has_capacity ? return_verdict(reserved_return{after}) : late_capacity{after};
+}
+
+auto return_schedule::refuse_as_late(const scarce_service& service, const client_identity& client,
+                                     Duration after, TimePoint now) -> late_capacity {
+  this->totals.refused += 1;
+  const auto expected =
+      std::min<Duration>(std::max(after, unusable_time(client.deadline - now)), max_return_time);
+  // The other half of the entries of a digest is kept for reservations.
+  if (this->entries.size() < max_entries_for_refused &&
+      this->by_client.count(client.digest) < max_entries_per_request / 2) {
+    this->insert(now + expected, {client, service, false});
+  }
+  return {expected};
+}
+
 auto return_schedule::on_refused(const scarce_service& service, const client_identity& client,
                                  TimePoint now) -> return_verdict {
   this->drop_missed(now);
-  const auto own = this->own_slot(client);
-  if (own != this->by_client.end() && own->second.first > now) {
-    const auto after = round_up(own->second.first - now);
-    const bool has_capacity = this->reservations.at(own->second).has_capacity;
-    return has_capacity ? return_verdict(reserved_return{after}) : late_capacity{after};
+  if (const auto known_verdict = this->verdict_of_entry(client, now)) {
+    return *known_verdict;
   }
   auto& known = this->capacity_of(service, now);
   const auto interval = interval_of(known, now);
-  const auto of_request = this->by_client.count(client.digest);
-  const bool has_room =
-      this->reservations.size() < max_reservations && of_request < max_entries_per_request;
+  const bool has_room = this->entries.size() < max_reservations &&
+                        this->by_client.count(client.digest) < max_entries_per_request;
   if (this->stopped || !has_room || !interval || client.deadline <= now) {
     return unplanned_return{};
   }
-  const auto drain = *interval * static_cast<std::int64_t>(known.reserved + 1);
+  const auto backlog_time = *interval * static_cast<std::int64_t>(known.reserved + 1);
   const auto usable = usable_time(client.deadline - now, known.run_time);
   if (usable >= retry_after_floor) {
     known.usable += (usable - known.usable) / (known.usable == Duration(0) ? 1 : usable_divisor);
   }
-  const auto after = return_after(drain, usable, known.usable);
+  const auto after = return_after(backlog_time, usable, known.usable);
   if (after > usable) {
-    this->totals.refused += 1;
-    const auto told =
-        std::min<Duration>(std::max(after, unusable_time(client.deadline - now)), max_return_time);
-    if (this->reservations.size() < max_entries_for_refused &&
-        of_request < max_entries_per_request / 2) {
-      this->insert(now + told, {client, service, false});
-    }
-    return late_capacity{told};
+    return this->refuse_as_late(service, client, after, now);
   }
   known.reserved += 1;
   this->totals.made += 1;
@@ -186,33 +202,33 @@
   return reserved_return{after};
 }
 
-void return_schedule::insert(TimePoint at, reservation entry) {
-  const auto taken = slot(at, this->next_number);
+void return_schedule::insert(TimePoint at, return_entry entry) {
+  const auto key = entry_key(at, this->next_number);
   this->next_number += 1;
-  this->by_client.emplace(entry.client.digest, taken);
-  this->reservations.emplace(taken, std::move(entry));
+  this->by_client.emplace(entry.client.digest, key);
+  this->entries.emplace(key, std::move(entry));
 }
 
-void return_schedule::release(slots_of_client::const_iterator found) {
-  const auto held = this->reservations.find(found->second);
+void return_schedule::release(keys_by_digest::const_iterator found) {
+  const auto held = this->entries.find(found->second);
   const auto known = this->capacities.find(held->second.service);
   if (held->second.has_capacity && known != this->capacities.end() && known->second.reserved > 0) {
     known->second.reserved -= 1;
   }
-  this->reservations.erase(held);
+  this->entries.erase(held);
   this->by_client.erase(found);
 }
 
 void return_schedule::drop_missed(TimePoint now) {
-  while (!this->reservations.empty()) {
-    const auto& [oldest, entry] = *this->reservations.begin();
+  while (!this->entries.empty()) {
+    const auto& [oldest, entry] = *this->entries.begin();
     if (oldest.first + late_tolerance >= now) {
       return;
     }
     this->totals.missed += entry.has_capacity ? 1 : 0;
     const auto [begin, end] = this->by_client.equal_range(entry.client.digest);
-    this->release(std::find_if(
-        begin, end, [taken = oldest](const auto& other) { return other.second == taken; }));
+    this->release(std::find_if(begin, end,
+                               [key = oldest](const auto& other) { return other.second == key; }));
   }
 }
 
--- a/core/answers/return_shedding.h
+++ b/core/answers/return_shedding.h
@@ -2,7 +2,8 @@
 //
 // Decides by how a request arrives (core/answers/return_schedule.h). A client that returns at its
 // time is refused only once all new requests of its rank are. One that returns early is refused
-// while any new request of its rank may be, so that it gains nothing. Stateless.
+// while any new request of its rank may be, so that it gains nothing. Stateless and
+// thread safe, apart from the generator that the caller passes.
 #pragma once
 
 #include <cstdint>
