--- a/core/admission/upload_memory.cc
+++ b/core/admission/upload_memory.cc
@@ -42,16 +42,16 @@
 
 auto upload_memory::slowest(TimePoint now) -> uploads_by_id::iterator {
   auto slowest = this->uploads.end();
-  auto least = 0.0;
+  auto lowest_rate = 0.0;
   for (auto it = this->uploads.begin(); it != this->uploads.end(); ++it) {
     const auto& candidate = it->second;
     if (candidate.complete || candidate.bytes == 0) {
       continue;
     }
     const auto rate = bytes_per_second(candidate.bytes, now - candidate.begun);
-    if (slowest == this->uploads.end() || rate < least) {
+    if (slowest == this->uploads.end() || rate < lowest_rate) {
       slowest = it;
-      least = rate;
+      lowest_rate = rate;
     }
   }
   return slowest;
--- a/core/admission/upload_memory.h
+++ b/core/admission/upload_memory.h
@@ -39,6 +39,7 @@
   /// The upload holds no more memory. Ignored if it is not counted.
   void release(upload_id id);
 
+  /// Bytes counted for all uploads.
   [[nodiscard]] auto held() const -> byte_count { return this->total; }
 
  private:
