--- a/core/admission/machine_slowdown.cc
+++ b/core/admission/machine_slowdown.cc
@@ -6,21 +6,12 @@
 namespace ramppond {
 namespace {
 
-// A slowdown lasts from 100 ms on. With a longer time, estimates rest on a slowdown that has ended;
-// with a shorter one, the value lapses between two queries of the health path.
+// Slowdowns last 100 ms or longer. With a longer time, estimates use a slowdown that has ended;
+// with a shorter one, the value expires between two queries of the health path.
 constexpr auto max_age = milliseconds(200);
 // Half of max_age, so that one late response does not make the value unknown. At most 10 queries a
 // second follow from it.
 constexpr auto query_interval = milliseconds(100);
-// Bounds of the factor in estimates. A wrong value beyond them would refuse every request that has
-// to wait, or queue requests that cannot be served in time.
-constexpr double min_factor = 0.5;
-constexpr double max_factor = 10;
-constexpr double percents = 100;
-
-auto clamped(std::uint32_t percent) -> double {
-  return std::clamp(static_cast<double>(percent) / percents, min_factor, max_factor);
-}
 
 }  // namespace
 
@@ -54,7 +45,7 @@
 
 auto machine_slowdown::factor(TimePoint now) const -> slowdown_factor {
   const auto current = this->percent(now);
-  return current ? slowdown_factor{clamped(*current)} : slowdown_factor{};
+  return current ? clamped_slowdown(*current) : slowdown_factor{};
 }
 
 auto machine_slowdown::age(TimePoint now) const -> Duration {
@@ -66,7 +57,8 @@
     return now - this->lost;
   }
   const auto valid_for = std::clamp(now - this->latest->arrived, Duration(0), Duration(max_age));
-  const auto done = static_cast<double>(valid_for.count()) / clamped(this->latest->percent);
+  const auto done =
+      static_cast<double>(valid_for.count()) / clamped_slowdown(this->latest->percent).value;
   return now - this->lost - valid_for + Duration(static_cast<std::int64_t>(done));
 }
 
--- a/core/placement/instance_directory.cc
+++ b/core/placement/instance_directory.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "core/admission/slowdown_factor.h"
+
 namespace ramppond {
 namespace {
 
@@ -21,17 +23,12 @@
 // Maximum number of routes with a known service time at one server. Bounds memory.
 constexpr std::size_t kMaximumRoutes = 64;
 
-// Bounds of the slowdown factor. The proxy beside a server multiplies reported service times by a
-// factor within the same bounds, so with other ones the usual time could not be computed from them.
-constexpr double kMinimumSlowdown = 0.5;
-constexpr double kMaximumSlowdown = 10;
-constexpr double kPercent = 100;
-
+// std::nullopt if the report names none.
 std::optional<double> slowdownOf(const ServerLoad& load) {
   if (!load.slowdown_percent || *load.slowdown_percent == 0) {
     return std::nullopt;
   }
-  return std::clamp(*load.slowdown_percent / kPercent, kMinimumSlowdown, kMaximumSlowdown);
+  return clamped_slowdown(*load.slowdown_percent).value;
 }
 
 placement_policy makePolicy(InstanceDirectoryOptions options) {
--- a/core/placement/known_instance.h
+++ b/core/placement/known_instance.h
@@ -40,7 +40,9 @@
   /// Factor on the usual service time, as reported at `load_reported` and clamped; unknown if not
   /// reported then.
   std::optional<double> slowdown;
-  TimePoint load_queried = -seconds(1);  ///< When a load query to it was last planned.
+  /// When a load query to it was last planned. Initially so long ago that one may be planned at
+  /// once.
+  TimePoint load_queried = -seconds(1);
   struct ReportedTime {
     Duration time{0};
     TimePoint reported{0};
