--- a/core/placement/expected_completion.cc
+++ b/core/placement/expected_completion.cc
@@ -16,24 +16,25 @@
 constexpr double wait_weight = 8;
 // A load report counts less the older it is, and after this time not at all: queues change within a
 // few service times.
-constexpr double report_counts_us = 500e3;
-// The mean of many servers changes more slowly than the load of one.
-constexpr auto mean_valid_us = static_cast<double>(load_report_valid.count());
-// The same for a reported slowdown, which changes many times a second.
-constexpr double slowdown_valid_us = 500e3;
+constexpr double report_lifetime_us = 500e3;
+// For the mean of many servers, which changes more slowly than the load of one.
+constexpr auto mean_lifetime_us = static_cast<double>(load_report_valid.count());
+// For a reported slowdown, which changes many times a second.
+constexpr double slowdown_lifetime_us = 500e3;
 // A report is fresh below this age and this number of own requests since. Older ones miss slowdowns
 // that have begun or ended; without a limit of requests, all of them follow one report.
 constexpr double fresh_us = 100e3;
 constexpr std::uint32_t fresh_requests = 3;
 // With this many fresh reports no load query is sent: more of them hardly improve the choice.
 constexpr std::size_t enough_fresh = 4;
-constexpr std::size_t max_queries = 2;  // per request
+// For each request, so that there are at most twice as many load queries as requests.
+constexpr std::size_t max_queries = 2;
 // Below this utilization a service is lightly used: nearly every server has a free slot.
 constexpr double light_utilization = 0.6;
-// Round trip between zones, and the margin as a multiple of the service time; since the wait is
-// weighted, a wait longer by an eighth of it suffices to leave the zone. With a lower margin, more
-// requests leave it without need.
-constexpr double zone_round_trip_us = 2e3;
+constexpr double zone_round_trip_us = 2e3;  // assumed, between zones
+// Advantage that another zone must have beyond the round trip, as a multiple of the service time.
+// With a lower margin, more requests leave the zone without need. As the wait counts wait_weight
+// times, a wait that is longer by 1/wait_weight of the service time suffices to leave it.
 constexpr double zone_margin = 1;
 // No second load query is sent to a server within this time; the first is answered or lost by then.
 constexpr Duration query_interval = milliseconds(100);
@@ -50,29 +51,31 @@
   return static_cast<double>((now - instance.load_reported).count());
 }
 
-// Falls from 1 to 0 within the lifetime.
-auto remaining(double age, double lifetime) -> double {
+// Weight of a report of this age; falls linearly from 1 to 0 within the lifetime.
+auto age_weight(double age, double lifetime) -> double {
   return std::clamp(1 - age / lifetime, 0.0, 1.0);
 }
 
-// A server of a lower rank precedes all of a higher rank.
-auto rank_of(const KnownInstance& instance, TimePoint now) -> int {
-  enum rank : std::uint8_t { ready, refusing, stopping, unreachable };
+// In order of preference: a server is selected only if none of an earlier value is left.
+enum class availability : std::uint8_t { ready, refusing, stopping, unreachable };
+
+auto availability_of(const KnownInstance& instance, TimePoint now) -> availability {
   if (is_unreachable(instance, now)) {
-    return unreachable;
+    return availability::unreachable;
   }
   if (instance.record.state == InstanceState::kStopping) {
-    return stopping;
+    return availability::stopping;
   }
   const bool refuses = instance.refused_until > now || rate_utilization(instance, now) > 1;
-  return refuses ? refusing : ready;
+  return refuses ? availability::refusing : availability::ready;
 }
 
-/// Mean of service times that one huge or tiny value changes little. Takes few logarithms.
+/// Mean of service times on which a single very large or small value has little effect. Multiplies
+/// the values and takes a logarithm only before the product could overflow.
 class geometric_mean {
  public:
   void add(double time) {
-    constexpr double product_limit = 1e200;
+    constexpr double product_limit = 1e200;  // leaves room for a factor of max_service_us
     this->product *= time;
     this->count += 1;
     if (this->product > product_limit) {
@@ -92,7 +95,7 @@
   double count = 0;
 };
 
-/// Weighted mean of times that one huge value changes little.
+/// Weighted mean of times on which a single very large value has little effect.
 class harmonic_mean {
  public:
   void add(double time, double weight) {
@@ -133,27 +136,27 @@
 auto expected_completion::collect(const std::vector<KnownInstance*>& candidates,
                                   const placement_request& request)
     -> std::optional<ordinary_server> {
-  auto best_rank = std::optional<int>();
+  auto best = std::optional<availability>();
   auto service = geometric_mean();
   for (auto* candidate : candidates) {
-    const auto rank = rank_of(*candidate, request.now);
-    if (rank > best_rank.value_or(rank)) {
+    const auto found = availability_of(*candidate, request.now);
+    if (found > best.value_or(found)) {
       continue;
     }
-    if (rank != best_rank) {
-      best_rank = rank;
-      this->near.servers.clear();
-      this->far.servers.clear();
+    if (found != best) {
+      best = found;
+      this->own_zone.servers.clear();
+      this->other_zones.servers.clear();
       service = geometric_mean();
     }
-    auto found = estimate();
-    found.instance = candidate;
+    auto server = estimate();
+    server.instance = candidate;
     if (const auto time = recent_usual_service_us(*candidate, request.route, request.now)) {
-      found.service = std::clamp(*time, min_service_us, max_service_us);
-      service.add(found.service);
+      server.service = std::clamp(*time, min_service_us, max_service_us);
+      service.add(server.service);
     }
-    auto& group = candidate->record.zone == this->zone ? this->near : this->far;
-    group.servers.push_back(found);
+    auto& group = candidate->record.zone == this->zone ? this->own_zone : this->other_zones;
+    group.servers.push_back(server);
   }
   const auto mean = service.value();
   if (!mean) {
@@ -162,39 +165,45 @@
   return ordinary_server{*mean, median_failed_permille(candidates, request.now, this->failed)};
 }
 
+void expected_completion::estimate_alone(estimate& server, const ordinary_server& ordinary,
+                                         TimePoint now) {
+  const auto& instance = *server.instance;
+  const auto age = age_us(instance, now);
+  const auto slots = bounded_slots(instance);
+  const auto failures = failure_factor(instance, ordinary.failed_permille, now);
+  server.service = server.service > 0 ? std::max(server.service, ordinary.service / max_speed)
+                                      : ordinary.service;
+  server.service *= 1 + (instance.slowdown.value_or(1) - 1) * age_weight(age, slowdown_lifetime_us);
+  const auto wait = server.service / slots * std::max(requests_at(instance) + 1 - slots, 0.0);
+  server.time = (server.service + wait_weight * wait) * failures;
+  server.weight = requests_per_us(instance, slots / server.service) / failures;
+  server.fresh =
+      instance.load.limit > 0 && age < fresh_us && instance.sent_since_report < fresh_requests;
+}
+
 // The time of each server approaches the mean as its report becomes older, since a server that was
 // busy or idle then is likely to have an ordinary load by now.
-void expected_completion::complete(server_group& group, const ordinary_server& ordinary,
-                                   TimePoint now) {
+void expected_completion::estimate_times(server_group& group, const ordinary_server& ordinary,
+                                         TimePoint now) {
   group.weight = 0;
   group.requests = 0;
   group.slots = 0;
   group.fresh = 0;
   auto times = harmonic_mean();
   for (auto& server : group.servers) {
+    estimate_alone(server, ordinary, now);
     const auto& instance = *server.instance;
     const auto age = age_us(instance, now);
-    const auto slots = bounded_slots(instance);
-    const auto failures = failure_factor(instance, ordinary.failed, now);
-    server.service = server.service > 0 ? std::max(server.service, ordinary.service / max_speed)
-                                        : ordinary.service;
-    server.service *= 1 + (instance.slowdown.value_or(1) - 1) * remaining(age, slowdown_valid_us);
-    const auto requests = requests_at(instance);
-    const auto wait = server.service / slots * std::max(requests + 1 - slots, 0.0);
-    server.time = (server.service + wait_weight * wait) * failures;
-    server.weight = requests_per_us(instance, slots / server.service) / failures;
-    server.fresh =
-        instance.load.limit > 0 && age < fresh_us && instance.sent_since_report < fresh_requests;
-    times.add(server.time, instance.load.limit > 0 ? remaining(age, mean_valid_us) : 0);
+    times.add(server.time, instance.load.limit > 0 ? age_weight(age, mean_lifetime_us) : 0);
     group.weight += server.weight;
-    group.requests += requests;
-    group.slots += slots;
+    group.requests += requests_at(instance);
+    group.slots += bounded_slots(instance);
     group.fresh += server.fresh ? 1 : 0;
   }
   const auto mean = times.value().value_or(ordinary.service);
   for (auto& server : group.servers) {
     const auto age = age_us(*server.instance, now);
-    const auto known = server.instance->load.limit > 0 ? remaining(age, report_counts_us) : 0;
+    const auto known = server.instance->load.limit > 0 ? age_weight(age, report_lifetime_us) : 0;
     server.time = mean + known * (server.time - mean);
   }
 }
@@ -225,29 +234,31 @@
   if (!ordinary) {
     return this->without_reports.choose(candidates, request);
   }
-  this->complete(this->near, *ordinary, request.now);
-  this->complete(this->far, *ordinary, request.now);
-  const auto* const home = this->best_of(this->near);
-  const auto* const away = this->best_of(this->far);
+  this->estimate_times(this->own_zone, *ordinary, request.now);
+  this->estimate_times(this->other_zones, *ordinary, request.now);
+  const auto* const nearby = this->best_of(this->own_zone);
+  const auto* const elsewhere = this->best_of(this->other_zones);
   const auto margin = zone_round_trip_us + zone_margin * ordinary->service;
-  const auto leaves = home == nullptr || (away != nullptr && away->time + margin < home->time);
+  const auto leaves_zone =
+      nearby == nullptr || (elsewhere != nullptr && elsewhere->time + margin < nearby->time);
   if (request.first_attempt) {
-    const bool zone_is_busy = home != nullptr && home->time > home->service + margin;
+    const bool zone_is_busy = nearby != nullptr && nearby->time > nearby->service + margin;
     this->plan_load_queries(zone_is_busy, request.now);
   }
-  return leaves ? away->instance : home->instance;
+  return leaves_zone ? elsewhere->instance : nearby->instance;
 }
 
 void expected_completion::plan_load_queries(bool zone_is_busy, TimePoint now) {
-  const auto& home = this->near.servers.empty() ? this->far : this->near;
-  const auto fresh = this->near.fresh + this->far.fresh;
-  const bool lightly_used = home.requests < light_utilization * home.slots;
+  const auto& preferred = this->own_zone.servers.empty() ? this->other_zones : this->own_zone;
+  const auto fresh = this->own_zone.fresh + this->other_zones.fresh;
+  const bool lightly_used = preferred.requests < light_utilization * preferred.slots;
   if (!this->queries_load || lightly_used || fresh >= enough_fresh) {
     return;
   }
   const auto wanted = std::min(max_queries, enough_fresh - fresh);
   for (std::size_t number = 0; number < wanted; ++number) {
-    const auto* const drawn = this->draw(number > 0 && zone_is_busy ? this->far : home);
+    const auto* const drawn =
+        this->draw(number > 0 && zone_is_busy ? this->other_zones : preferred);
     if (drawn != nullptr && now - drawn->instance->load_queried >= query_interval) {
       drawn->instance->load_queried = now;
       this->queries.push_back(drawn->instance);
--- a/core/placement/expected_completion.h
+++ b/core/placement/expected_completion.h
@@ -53,10 +53,10 @@
  private:
   struct estimate {
     KnownInstance* instance = nullptr;
-    double service = 0;  // microseconds; 0 for unknown
+    double service = 0;  // service time in microseconds; 0 for unknown
     double time = 0;     // to completion, in microseconds; the wait is weighted
-    double weight = 0;   // requests per microsecond that it can complete
-    bool fresh = false;
+    double weight = 0;   // requests per microsecond that it can complete, less if it fails many
+    bool fresh = false;  // its load report is fresh
   };
   /// The candidates of the own zone, or all others, with sums over them.
   struct server_group {
@@ -67,32 +67,37 @@
     std::size_t fresh = 0;  // servers with a fresh report
   };
 
-  /// What an ordinary server of the service is like.
+  /// Reference values over the candidates of one service.
   struct ordinary_server {
-    double service = 0;        // mean in microseconds
-    std::uint32_t failed = 0;  // median, in thousandths of its requests
+    double service = 0;                 // mean service time in microseconds
+    std::uint32_t failed_permille = 0;  // median share of failed requests
   };
 
   /// Sorts the candidates that no other precedes into the groups. Returns std::nullopt if none of
   /// them reported a service time lately.
   auto collect(const std::vector<KnownInstance*>& candidates, const placement_request& request)
       -> std::optional<ordinary_server>;
-  void complete(server_group& group, const ordinary_server& ordinary, TimePoint now);
+  /// Fills in the estimate of a server by its own report.
+  static void estimate_alone(estimate& server, const ordinary_server& ordinary, TimePoint now);
+  /// Fills in the estimates of the servers of a group and its sums.
+  void estimate_times(server_group& group, const ordinary_server& ordinary, TimePoint now);
+  /// Draws a server with a probability proportional to its weight; nullptr if the group is empty.
   auto draw(const server_group& group) -> const estimate*;
   /// Returns the best of a drawn server and of those with a fresh report; nullptr if the group is
   /// empty.
   auto best_of(const server_group& group) -> const estimate*;
+  /// Selects the servers that are sent a load query. `zone_is_busy`: its best server has a wait.
   void plan_load_queries(bool zone_is_busy, TimePoint now);
 
   std::string zone;
   bool queries_load;
   Random random;
-  utilization_cost without_reports;
-  std::vector<KnownInstance*> queries;
+  utilization_cost without_reports;     // used while no service time is known
+  std::vector<KnownInstance*> queries;  // load queries that are due
   // Of the current choose(); members to reuse their memory.
-  server_group near;  // in the own zone
-  server_group far;
-  std::vector<std::uint32_t> failed;
+  server_group own_zone;
+  server_group other_zones;
+  std::vector<std::uint32_t> failed;  // memory for median_failed_permille()
 };
 
 }  // namespace ramppond
--- a/core/placement/utilization_cost.h
+++ b/core/placement/utilization_cost.h
@@ -37,6 +37,7 @@
     std::optional<Duration> fastest;  // shortest service time
     std::uint32_t median_failed_permille = 0;
   };
+
   auto baseline_of(const std::vector<KnownInstance*>& candidates, const std::string& route,
                    TimePoint now) -> service_baseline;
   auto cost(const KnownInstance& instance, const std::string& route,
@@ -44,7 +45,7 @@
 
   std::string zone;
   Random random;
-  std::vector<std::uint32_t> failed;  // of the current choose(); reused for its memory
+  std::vector<std::uint32_t> failed;  // memory for median_failed_permille()
 };
 
 }  // namespace ramppond
