--- a/core/retries/call_attribution.h
+++ b/core/retries/call_attribution.h
@@ -84,10 +84,11 @@
   [[nodiscard]] auto single_caller(TimePoint deadline) const -> const std::string*;
   void learn_calls_per_run(const run& ended);
   void attribute_to_run(TimePoint deadline, attributed_request& request);
-  // The estimate for a call to `to` that has a deadline of its own, by the runs of its known
-  // callers.
+  // Estimates the root of a call to `to` by all runs of known callers of `to` that outlast it.
+  // Serves calls whose root cannot be estimated by the runs with an equal deadline.
   [[nodiscard]] auto root_of_possible_runs(const callee& to, TimePoint deadline) const
       -> std::optional<request_root>;
+  // Whether `route` is known to call `to`: it makes enough of the attributed calls.
   static auto is_caller(const callee& to, const std::string& route) -> bool;
 
   std::map<run_id, run> runs;
--- a/core/retries/retry_budget.h
+++ b/core/retries/retry_budget.h
@@ -31,9 +31,10 @@
 /// reserve less.
 struct budget_reserve {
   double share = 0;
-  /// Without it, no more is kept for those than they requested in the last window. With it, no more
-  /// than they will request within this time at the rate of the last one or two tenths of a window:
-  /// so it is kept from their first requests on, before less valuable retries have used it up.
+  /// Bounds what is kept for them. 0: their number in the last window. Otherwise the number
+  /// expected within this time at the rate of the last one or two tenths of a window, so that
+  /// retries are kept from their first requests on, before less valuable ones have used up the
+  /// budget.
   Duration forecast{0};
 };
 
@@ -91,8 +92,8 @@
   // Requested retries that reserve less than `reserve`.
   [[nodiscard]] auto requested_below_reserve(std::int64_t begin, budget_reserve reserve) const
       -> double;
-  // How many are expected from now on; see budget_reserve. The current slot has only begun, so the
-  // previous one counts if more were requested in it.
+  // The number of such retries to keep; see budget_reserve::forecast. The current slot is
+  // incomplete, so the previous one counts if more were requested in it.
   [[nodiscard]] auto expected_below_reserve(std::int64_t current, budget_reserve reserve) const
       -> double;
   [[nodiscard]] auto allowed_in_window(std::int64_t begin, std::int64_t current) const -> double;
--- a/core/retries/retry_reserve.h
+++ b/core/retries/retry_reserve.h
@@ -6,7 +6,7 @@
 // request has no previous work that would be lost.
 //
 // With the order of retries, the tree of a retry counts first: whether its client can send it again
-// after a failure. Inputs: see ordered_retry. Stateless.
+// after a failure. Inputs: see ordered_retry. Stateless and thread safe.
 #pragma once
 
 #include <algorithm>
@@ -50,10 +50,10 @@
 };
 constexpr auto retry_classes = std::size_t(3);
 
-/// A retry for which the budget is asked.
+/// A retry that is requested from the budget.
 struct ordered_retry {
-  bool is_call = false;  ///< A call of a server, and not a request that a client sent directly.
-  bool has_not_run = false;
+  bool is_call = false;      ///< A call of a server, and not a request that a client sent directly.
+  bool has_not_run = false;  ///< No attempt at it may have run.
   bool tree_is_repeatable = true;                               ///< See request_root::repeatable.
   std::optional<std::uint32_t> remaining_calls = std::nullopt;  ///< See reserve_of().
 };
@@ -79,6 +79,8 @@
 /// retries use up the budget of a long incident.
 constexpr auto retry_forecast = Duration(milliseconds(2500));
 
+/// Returns the class of a retry. A direct request that may have run is retried only if it is
+/// repeatable, and its client cannot be told to return at no cost: it counts as a repeatable tree.
 constexpr auto class_of(const ordered_retry& retry) -> retry_class {
   if (!retry.is_call) {
     return retry.has_not_run ? retry_class::direct : retry_class::repeatable_tree;
--- a/core/retries/root_estimate.cc
+++ b/core/retries/root_estimate.cc
@@ -6,9 +6,9 @@
 namespace ramppond {
 namespace {
 
-// Smaller is preferred among equally frequent kinds.
-auto preference(const request_root& kind) -> std::tuple<std::uint32_t, bool> {
-  return {kind.rank, kind.repeatable};
+// The smaller one is preferred among equally frequent roots.
+auto preference(const request_root& root) -> std::tuple<std::uint32_t, bool> {
+  return {root.rank, root.repeatable};
 }
 
 }  // namespace
@@ -19,11 +19,11 @@
     this->caller = std::string();
     return;
   }
-  const auto found = std::find_if(this->kinds.begin(), this->kinds.end(), [&](const auto& known) {
-    return preference(known.kind) == preference(*root);
+  const auto found = std::find_if(this->roots.begin(), this->roots.end(), [&](const auto& known) {
+    return preference(known.root) == preference(*root);
   });
-  if (found == this->kinds.end()) {
-    this->kinds.push_back({{root->rank, root->repeatable, {}}, 1});
+  if (found == this->roots.end()) {
+    this->roots.push_back({{root->rank, root->repeatable, {}}, 1});
   } else {
     found->count += 1;
   }
@@ -36,14 +36,14 @@
 
 auto root_estimate::result() const -> std::optional<request_root> {
   const auto best = std::max_element(
-      this->kinds.begin(), this->kinds.end(), [](const kind_count& left, const kind_count& right) {
+      this->roots.begin(), this->roots.end(), [](const root_count& left, const root_count& right) {
         return left.count != right.count ? left.count < right.count
-                                         : preference(right.kind) < preference(left.kind);
+                                         : preference(right.root) < preference(left.root);
       });
-  if (best == this->kinds.end() || best->count < this->unknown) {
+  if (best == this->roots.end() || best->count < this->unknown) {
     return std::nullopt;
   }
-  auto root = best->kind;
+  auto root = best->root;
   root.caller = this->caller.value_or(std::string());
   return root;
 }
--- a/core/retries/root_estimate.h
+++ b/core/retries/root_estimate.h
@@ -1,9 +1,9 @@
 // Estimates the root of a call from the runs that may have made it.
 //
-// Input: the root of each candidate run, if known. Output: the most frequent rank and kind among
-// them, since the candidates are equally likely; on a tie the more urgent and not repeatable one,
-// so that a call is not served later than its client's request deserves. The caller is charged only
-// if all candidates agree on it. No I/O; not thread safe.
+// Input: the root of each candidate run, if known. Output: the most frequent rank and repeatability
+// among them, since the candidates are equally likely; on a tie the more urgent rank, then the one
+// that is not repeatable, so that a call is not served later than its client's request would be.
+// The caller is charged only if all candidates agree on it. No I/O; not thread safe.
 #pragma once
 
 #include <cstddef>
@@ -17,19 +17,20 @@
 
 class root_estimate {
  public:
+  /// Adds a candidate run; std::nullopt if its root is unknown.
   void add(const std::optional<request_root>& root);
 
   /// std::nullopt without candidates, or if the root of most of them is unknown.
   [[nodiscard]] auto result() const -> std::optional<request_root>;
 
  private:
-  struct kind_count {
-    request_root kind;  // without a caller
+  struct root_count {
+    request_root root;  // without a caller
     std::size_t count = 0;
   };
 
-  std::vector<kind_count> kinds;
-  std::size_t unknown = 0;
+  std::vector<root_count> roots;
+  std::size_t unknown = 0;            // candidates with an unknown root
   std::optional<std::string> caller;  // of all candidates so far; empty if they differ
 };
 
