--- a/common/json_string.cc
+++ b/common/json_string.cc
@@ -2,6 +2,12 @@
 
 namespace ramppond {
 
+namespace {
+
+constexpr unsigned char kFirstPrintable = 0x20;
+
+}  // namespace
+
 std::string toJsonString(std::string_view text) {
   constexpr std::string_view kDigits = "0123456789abcdef";
   std::string quoted = "\"";
@@ -10,7 +16,7 @@
     if (letter == '"' || letter == '\\') {
       quoted += '\\';
       quoted += letter;
-    } else if (code < 0x20) {
+    } else if (code < kFirstPrintable) {
       quoted += "\\u00";
       quoted += kDigits[code >> 4U];
       quoted += kDigits[code & 0xFU];
--- a/control/coordinator/coordinator_operator.cc
+++ b/control/coordinator/coordinator_operator.cc
@@ -24,6 +24,7 @@
 void refuseConfiguration(const std::shared_ptr<ServerExchange>& exchange,
                          const std::string& reason) {
   logEvent(EventLoop::now().count(), "configuration_refused", {{"reason", reason}});
+  // The literal is recorded in tests/compatibility/golden/literals.txt; the reason is added to it.
   std::string body = "{\"error\":\"invalid\"}";
   body.insert(body.size() - 1, ",\"reason\":" + toJsonString(reason));
   respondToOperator(exchange, kBadRequest, body);
--- a/core/byte_count.h
+++ b/core/byte_count.h
@@ -1,4 +1,4 @@
-// A number of bytes.
+// A number of bytes, so that sizes are not mixed up with other counts in parameters.
 #pragma once
 
 #include <cstdint>
--- a/core/feature_mode.h
+++ b/core/feature_mode.h
@@ -1,4 +1,4 @@
-// Operator's switch for an optional part of the product.
+// Setting by which an operator switches an optional part on or off, or leaves it to a condition.
 //
 // Stateless and thread safe.
 #pragma once
