--- a/daemon/proxy/server_load_monitor.cc
+++ b/daemon/proxy/server_load_monitor.cc
@@ -92,10 +92,19 @@
   return admission.underWay() + admission.waiting() > 0;
 }
 
-void server_load_monitor::schedule() {
+auto server_load_monitor::next_query() const -> std::optional<TimePoint> {
   const auto next = this->server.slowdown().next_query();
-  const auto is_possible = next && this->server.reports().known() && this->is_in_use();
-  if (this->scheduled || !is_possible || this->server.health_path().empty()) {
+  const auto is_possible = next && this->server.reports().known() && this->is_in_use() &&
+                           !this->server.health_path().empty();
+  return is_possible ? next : std::nullopt;
+}
+
+void server_load_monitor::schedule() {
+  if (this->scheduled) {
+    return;
+  }
+  const auto next = this->next_query();
+  if (!next) {
     return;
   }
   this->scheduled = true;
@@ -106,26 +115,24 @@
 // The value may have been renewed by a response since the timer was set.
 void server_load_monitor::on_due() {
   this->scheduled = false;
-  const auto next = this->server.slowdown().next_query();
-  const auto health_path = this->server.health_path();
-  const auto is_due = next && *next <= EventLoop::now() && this->server.reports().known();
-  if (is_due && this->is_in_use() && !health_path.empty()) {
-    this->send_query(health_path);
+  const auto next = this->next_query();
+  if (next && *next <= EventLoop::now()) {
+    this->send_query();
   }
   this->schedule();
 }
 
-void server_load_monitor::send_query(const std::string& health_path) {
+void server_load_monitor::send_query() {
   const auto& heartbeat = this->server.reports().heartbeat();
   auto head = HttpHead();
   head.method = "GET";
-  head.target = health_path;
+  head.target = this->server.health_path();
   head.fields.push_back({"Host", this->pool.options().endpoint.toString()});
   head.fields.push_back({this->api.headers().expect_instance, heartbeat.instance_id});
   this->counters.queries += 1;
   this->server.slowdown().on_query_sent(EventLoop::now());
-  this->current = std::make_shared<query>(*this, heartbeat.incarnation());
-  this->exchange = this->pool.start(head, BodyFraming::kNone, "", true, this->current);
+  this->last_query = std::make_shared<query>(*this, heartbeat.incarnation());
+  this->exchange = this->pool.start(head, BodyFraming::kNone, "", true, this->last_query);
   this->timeout_timer.after(query_timeout, [this] { this->end_query(false); });
 }
 
--- a/daemon/proxy/server_load_monitor.h
+++ b/daemon/proxy/server_load_monitor.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/external/external_api.h"
@@ -33,9 +34,9 @@
   void on_offered();
   /// Call about once a second.
   void sweep() { this->pool.sweep(); }
-  /// Logs the event `server_load` if anything was counted since its last line, and the server
-  /// reports a slowdown, sent an unreadable report since then, or the mode is `on`. Call whenever
-  /// the counters are logged.
+  /// Logs the event `server_load` if anything was counted since its last line and the part is
+  /// active. Its condition here: the server reports a slowdown, or sent an unreadable report since
+  /// the last line. Call whenever the counters are logged.
   void log_use();
 
  private:
@@ -53,9 +54,12 @@
   void record(const std::string& incarnation, const named_server_load& reported);
   /// Whether requests run at the server or wait for it.
   [[nodiscard]] auto is_in_use() const -> bool;
+  /// When a query is due; std::nullopt if none is needed or possible.
+  [[nodiscard]] auto next_query() const -> std::optional<TimePoint>;
+  /// Sets the timer for the next query unless it is set.
   void schedule();
   void on_due();
-  void send_query(const std::string& health_path);
+  void send_query();
   void end_query(bool answered);
 
   const ExternalApi& api;
@@ -65,8 +69,8 @@
   LoopTimer due_timer;
   LoopTimer timeout_timer;
   bool scheduled = false;
-  std::shared_ptr<query> current;
-  std::shared_ptr<ClientExchange> exchange;
+  std::shared_ptr<query> last_query;         // kept alive here, since the pool does not own it
+  std::shared_ptr<ClientExchange> exchange;  // of a query in flight
   use_counters counters;
   use_counters logged;            // counters as of the last log line
   std::string unreadable_reason;  // of the last unreadable report
