--- a/daemon/proxy/forwarded_body.h
+++ b/daemon/proxy/forwarded_body.h
@@ -16,9 +16,9 @@
 /// hold them all in memory; with a smaller one, common forms could not be sent to a second server.
 constexpr auto max_buffered_body_bytes = std::size_t(65536);
 
-/// The same for uploads, whose total is bounded separately (upload_buffers). A slot is reserved for
-/// confirmation_time while the rest of a withheld body is transferred, so a longer one would be
-/// refused on a slow link.
+/// The same for uploads, whose total is bounded separately (upload_buffers). The server's proxy
+/// keeps a slot for confirmation_time while the rest of a withheld body is transferred; on a slow
+/// link, the transfer of a larger body would exceed this time and be refused.
 constexpr auto max_buffered_upload_bytes = std::size_t(1) << 20U;
 
 class forwarded_body {
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -73,17 +73,12 @@
   if (state_ != State::kReceiving) {
     return;
   }
-  if (!upload_) {
-    if (body_.exceeds_buffer_limit()) {
-      stopBuffering();
-    }
-    return;
-  }
-  if (body_.exceeds_buffer_limit(max_buffered_upload_bytes)) {
+  const auto limit = upload_ ? max_buffered_upload_bytes : max_buffered_body_bytes;
+  if (body_.exceeds_buffer_limit(limit)) {
     stopBuffering();
-    return;
+  } else if (upload_) {
+    context_.uploads.on_received(*upload_, {data.size()}, EventLoop::now());
   }
-  context_.uploads.on_received(*upload_, {data.size()}, EventLoop::now());
 }
 
 void ForwardedRequest::stopBuffering() {
--- a/daemon/proxy/forwarded_request.h
+++ b/daemon/proxy/forwarded_request.h
@@ -53,7 +53,8 @@
   /// The proxy beside `instance` has stopped answering. A request that is waiting there and may be
   /// retried is sent elsewhere; any other keeps waiting, since it may still be running.
   void onPeerSilent(const KnownInstance& instance);
-  /// The memory for uploads is short: the body is streamed from now on.
+  /// The body is too long to buffer, or the memory for uploads is short: it is streamed from now
+  /// on.
   void stopBuffering();
 
   void onRequestBody(std::string_view data) override;
@@ -78,7 +79,9 @@
   };
 
   void start();
+  /// Buffers a part of the body; streams the body if it becomes too long.
   void bufferBody(std::string_view data);
+  /// Returns the memory of a buffered upload, if any.
   void releaseUpload();
   void onDeadline();
   /// Cancels the timers and ends the attempt. The caller answers the client.
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -182,7 +182,7 @@
     return;
   }
   if (withheld_body_ && !body_ended_) {
-    if (!holdBody()) {
+    if (!reserveBodyMemory()) {
       refuse(inbound_refusal::queue_full);
       finishServerWork(ServerOutcome::kWithdrawn);
       return;
@@ -193,18 +193,18 @@
   }
 }
 
-bool InboundRequest::holdBody() {
+bool InboundRequest::reserveBodyMemory() {
   if (withheld_body_->bytes > kMaxBufferedBodyBytes) {
-    held_body_ = context_.uploads.hold({withheld_body_->bytes});
-    return held_body_.has_value();
+    body_memory_ = context_.uploads.try_hold({withheld_body_->bytes});
+    return body_memory_.has_value();
   }
   return true;
 }
 
-void InboundRequest::releaseBody() {
-  if (held_body_) {
-    context_.uploads.remove(*held_body_);
-    held_body_.reset();
+void InboundRequest::releaseBodyMemory() {
+  if (body_memory_) {
+    context_.uploads.remove(*body_memory_);
+    body_memory_.reset();
   }
 }
 
@@ -256,7 +256,7 @@
                                                shared_from_this());
   body_.clear();
   body_.shrink_to_fit();
-  releaseBody();
+  releaseBodyMemory();
   exchange_->resumeRequestBody();
 }
 
@@ -272,7 +272,7 @@
 
 void InboundRequest::done() {
   state_ = State::kDone;
-  releaseBody();
+  releaseBodyMemory();
   context_.guard.leave(admission_.id);
 }
 
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -67,9 +67,10 @@
   void refuseBlocked(TimePoint until);
   void requestAdmission();
   void requestConfirmation();
-  /// Reserves memory for the rest of a long withheld body. Returns false if there is none.
-  bool holdBody();
-  void releaseBody();
+  /// Reserves memory for a withheld body that exceeds the usual buffer. Returns false if there is
+  /// none.
+  bool reserveBodyMemory();
+  void releaseBodyMemory();
   void onConfirmed();
   void onConfirmationTimeout();
   void dispatch();
@@ -102,7 +103,7 @@
   std::string route_;
   std::optional<request_digest> digest_;
   AdmissionRequest admission_;
-  std::optional<upload_id> held_body_;  ///< Its memory in the buffers for uploads.
+  std::optional<upload_id> body_memory_;  ///< Set while memory is reserved for a long body.
   TimePoint received_{0};
   TimePoint deadline_{0};
   TimePoint begun_{0};                   ///< When the request was admitted.
--- a/daemon/proxy/upload_buffers.cc
+++ b/daemon/proxy/upload_buffers.cc
@@ -9,7 +9,7 @@
   return static_cast<upload_id>(this->last_id);
 }
 
-auto upload_buffers::hold(byte_count size) -> std::optional<upload_id> {
+auto upload_buffers::try_hold(byte_count size) -> std::optional<upload_id> {
   const auto id = this->next_id();
   return this->memory.try_hold(id, size) ? std::optional(id) : std::nullopt;
 }
