--- a/daemon/proxy/proxy_settings.cc
+++ b/daemon/proxy/proxy_settings.cc
@@ -5,10 +5,8 @@
 
 constexpr IntegerRange kPortRange = {1, 65535};
 constexpr IntegerRange kDescriptorRange = {64, 10'000'000};
-
 constexpr IntegerRange kUploadBufferRange = {1, 1024};  // MiB
-constexpr std::int64_t kDefaultUploadBufferMb = 16;
-constexpr unsigned kMbShift = 20;
+constexpr unsigned kMebibyteShift = 20;                 // from bytes to MiB
 
 feature_mode featureMode(SettingsTable& root, const std::string& key) {
   const std::string mode = root.choice(key, {"auto", "on", "off"});
@@ -18,6 +16,7 @@
   return mode == "off" ? feature_mode::off : feature_mode::automatic;
 }
 
+// Reads the modes of optional parts and the settings that belong to them.
 void readFeatures(SettingsTable& root, ProxySettings& settings) {
   settings.fair_shares = featureMode(root, "fair_shares");
   settings.retry_order = featureMode(root, "retry_order");
@@ -26,9 +25,11 @@
   const std::string placement = root.choice("placement", {"utilization", "expected_completion"});
   settings.placement = placement == "utilization" ? placement_kind::utilization
                                                   : placement_kind::expected_completion;
-  const std::int64_t upload_buffer =
-      root.optionalInteger("max_upload_buffer_mb", kDefaultUploadBufferMb, kUploadBufferRange);
-  settings.max_upload_buffer = {static_cast<std::uint64_t>(upload_buffer) << kMbShift};
+  const auto default_mebibytes =
+      static_cast<std::int64_t>(settings.max_upload_buffer.value >> kMebibyteShift);
+  const std::int64_t mebibytes =
+      root.optionalInteger("max_upload_buffer_mb", default_mebibytes, kUploadBufferRange);
+  settings.max_upload_buffer = {static_cast<std::uint64_t>(mebibytes) << kMebibyteShift};
 }
 
 ProxySettings settingsOf(SettingsTable& root) {
--- a/daemon/proxy/proxy_settings.h
+++ b/daemon/proxy/proxy_settings.h
@@ -31,10 +31,11 @@
   feature_mode retry_order = feature_mode::automatic;
   /// Return times of refused clients by the capacity to come; automatic as above.
   feature_mode return_times = feature_mode::automatic;
-  /// The local server's reports on its machine; automatic: while it sends complete ones.
+  /// The local server's reports on its machine; automatic: while they include the slowdown.
   feature_mode server_load = feature_mode::automatic;
   placement_kind placement = placement_kind::utilization;
-  /// Memory for the bodies of uploads, over all of them.
+  /// Memory for the bodies of all buffered uploads. The default is a tenth of the 160 MB that a
+  /// server machine has for its proxy.
   byte_count max_upload_buffer = {16ULL << 20U};
 };
 
