--- a/daemon/proxy/forwarded_retry.cc
+++ b/daemon/proxy/forwarded_retry.cc
@@ -53,7 +53,7 @@
       head_for_peer({exchange_->request(), params_, history_, instance, digest_,
                      context_.api.headers().deadline_ms, now - params_.received, timeLeft()});
   context_.directory.onSent(instance, now);
-  context_.placement.on_sent(instance);
+  context_.placement_queries.on_sent(instance);
   context_.attempting.insert(this);
   attempt_.emplace(context_.loop, instance);
   attempt_->send(context_.peers.pool_for(instance.record.proxy_address), std::move(head), body_,
@@ -108,9 +108,9 @@
 
 bool ForwardedRequest::spendRetryBudget(attempt_end end) {
   const bool has_not_run = end == attempt_end::not_run && !history_.may_have_run;
-  const ordered_retry asked = ordered_retry_of(params_, has_not_run);
-  const bool ordered = context_.features.retry_order;
-  const budget_reserve reserve = reserve_for(asked, ordered);
+  const ordered_retry requested = ordered_retry_of(params_, has_not_run);
+  const bool order_is_active = context_.features.retry_order;
+  const budget_reserve reserve = reserve_for(requested, order_is_active);
   const budget_draw draw = {context_.random.uniform()};
   const bool paid = context_.budgets.of(params_.service).take(EventLoop::now(), reserve, draw);
   if (paid) {
@@ -118,8 +118,8 @@
   } else {
     context_.counters.retries_unpaid += 1;
   }
-  if (ordered) {
-    context_.ordered_retries.record(class_of(asked), paid);
+  if (order_is_active) {
+    context_.ordered_retries.record(class_of(requested), paid);
   }
   return paid;
 }
--- a/daemon/proxy/load_queries.h
+++ b/daemon/proxy/load_queries.h
@@ -1,9 +1,9 @@
-// Carries out the load queries that placement by expected completion asks for, and logs what that
-// placement does.
+// Sends the load queries that placement by expected completion requires, and logs how many requests
+// it placed, how many of them left the zone, and how many load queries it took.
 //
 // Applies the decisions of core/placement/expected_completion.h. Relies on a directory and pools
-// that outlive it. Owns the last query to each peer. Does nothing while another placement is
-// selected. Used on the event loop's thread.
+// that outlive it. Owns the last query to each peer. Does nothing with another placement policy.
+// Used on the event loop's thread.
 #pragma once
 
 #include <cstdint>
@@ -38,9 +38,9 @@
   std::uint64_t requests = 0;   // since the last log line, attempts included
   std::uint64_t left_zone = 0;  // of requests
   std::uint64_t queries = 0;    // since the last log line
-  // By address. Kept until the next one, since the pool does not keep its handler alive. A peer is
-  // not queried again before its last query has ended: a paused process answers none, and each
-  // would hold a connection.
+  // By address of the peer. A query is kept until the next one, since the pool does not keep its
+  // handler alive. A peer is not queried again before its last query has ended: a paused process
+  // answers none, and each would occupy a connection.
   std::map<std::string, std::shared_ptr<peer_ping>> last_queries;
 };
 
--- a/daemon/proxy/peer_headers.cc
+++ b/daemon/proxy/peer_headers.cc
@@ -23,8 +23,9 @@
 constexpr std::size_t kMaxOverloadEntries = 32;
 constexpr double kThousand = 1000;
 constexpr std::uint64_t kMaxPermille = 1000000;
+// Encoded length of a caller's name. Bounds the field, which every request between proxies carries.
 constexpr std::size_t kMaxCallerBytes = 96;
-constexpr std::size_t kEncodedByteLength = 3;
+constexpr std::size_t kEncodedByteLength = 3;  // '%' and two digits
 constexpr std::string_view kHexDigits = "0123456789ABCDEF";
 
 // Converts to thousandths; unreasonably large values are clamped.
@@ -61,6 +62,8 @@
   return encoded;
 }
 
+// A digest takes the place of a name that is too long, so that its requests are still charged to
+// one caller.
 std::string encodeCaller(const std::string& caller) {
   std::string encoded = percentEncode(caller);
   if (encoded.size() <= kMaxCallerBytes) {
@@ -69,6 +72,7 @@
   return std::to_string(XXH3_64bits(caller.data(), caller.size()));
 }
 
+// Returns std::nullopt if the text is too long or malformed.
 std::optional<std::string> decodeCaller(std::string_view text) {
   if (text.size() > kMaxCallerBytes) {
     return std::nullopt;
--- a/daemon/proxy/proxy_context.cc
+++ b/daemon/proxy/proxy_context.cc
@@ -16,7 +16,7 @@
   return options;
 }
 
-std::string on_or_off(bool active) {
+std::string onOrOff(bool active) {
   return active ? "on" : "off";
 }
 
@@ -41,7 +41,7 @@
       budgets(bounds.retry_ratio, bounds.retry_extra),
       returns(*this),
       monitor(directory, peers, attempting, counters),
-      placement(directory, peers, settings.placement, settings.zone),
+      placement_queries(directory, peers, settings.placement, settings.zone),
       waiting(event_loop, own.admission()),
       uploads(settings.max_upload_buffer) {
   own.on_gone = [this](const std::string& incarnation) { guard.on_server_gone(incarnation); };
@@ -61,9 +61,9 @@
   }
   features = next;
   logEvent(EventLoop::now().count(), "optional_parts",
-           {{"fair_shares", on_or_off(features.fair_shares)},
-            {"retry_order", on_or_off(features.retry_order)},
-            {"return_times", on_or_off(features.return_times)}});
+           {{"fair_shares", onOrOff(features.fair_shares)},
+            {"retry_order", onOrOff(features.retry_order)},
+            {"return_times", onOrOff(features.return_times)}});
 }
 
 void ProxyContext::set_feature_modes(const ProxySettings& read) {
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -67,7 +67,7 @@
     return this->fair_shares == other.fair_shares && this->retry_order == other.retry_order &&
            this->return_times == other.return_times;
   }
-  /// Whether proxies tell each other the root of each call tree.
+  /// Whether this proxy determines the root of each request and passes it on.
   [[nodiscard]] auto needs_roots() const -> bool { return this->fair_shares || this->retry_order; }
 };
 
@@ -81,7 +81,8 @@
   /// Takes the modes of fair_shares, retry_order and return_times from settings that were read
   /// again, so that an operator can switch a part off without a restart.
   void set_feature_modes(const ProxySettings& read);
-  /// Applies modes and configuration; logs the event `optional_parts` if a part changes.
+  /// Recomputes `features` from the settings and the configuration in force; logs the event
+  /// `optional_parts` if one changes.
   void update_features();
 
   EventLoop& loop;
@@ -96,19 +97,19 @@
   InstanceDirectory directory;
   proxy_counters counters;
   own_server own;
-  server_load_monitor server_load;
-  call_attribution calls;        ///< Calls of the local server.
-  downstream_overload overload;  ///< By route of the requests that originate on this machine.
-  crash_guard guard;             ///< Guards the local server.
+  server_load_monitor server_load;  ///< Reports of the local server on its machine.
+  call_attribution calls;           ///< Calls of the local server.
+  downstream_overload overload;     ///< By route of the requests that originate on this machine.
+  crash_guard guard;                ///< Guards the local server.
   peer_pools peers;
   retry_budgets budgets;
-  retry_order_totals ordered_retries;  ///< While features.retry_order is active.
-  return_times returns;
+  retry_order_totals ordered_retries;      ///< While features.retry_order is active.
+  return_times returns;                    ///< Return times of refused clients.
   std::set<ForwardedRequest*> attempting;  ///< Requests with an attempt in flight.
   peer_monitor monitor;
-  load_queries placement;
+  load_queries placement_queries;  ///< For placement by expected completion.
   waiting_requests waiting;
-  upload_buffers uploads;
+  upload_buffers uploads;  ///< Memory of buffered uploads.
   std::function<void()> on_tenant_surge;
   /// When a request that originated here last ended without success.
   TimePoint last_failed_forward{0};
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -251,7 +251,7 @@
   context_.own.connections().sweep();
   context_.server_load.sweep();
   context_.peers.sweep();
-  context_.placement.log();
+  context_.placement_queries.log();
   rereadSettings(false);
   context_.returns.log(EventLoop::now());
   seconds_ += 1;
--- a/daemon/proxy/retry_order.cc
+++ b/daemon/proxy/retry_order.cc
@@ -13,7 +13,7 @@
   std::string_view denied;
 };
 
-// In the order of retry_class.
+// Field names of the log event, in the order of retry_class.
 constexpr auto names =
     std::array<class_names, retry_classes>{{{"unrepeatable_granted", "unrepeatable_denied"},
                                             {"repeatable_granted", "repeatable_denied"},
@@ -26,9 +26,9 @@
   return {params.is_call, has_not_run, repeatable, params.attributed.remaining_calls};
 }
 
-auto reserve_for(const ordered_retry& asked, bool order_is_active) -> budget_reserve {
-  return order_is_active ? reserve_in_order(asked)
-                         : reserve_of(asked.is_call, asked.remaining_calls);
+auto reserve_for(const ordered_retry& retry, bool order_is_active) -> budget_reserve {
+  return order_is_active ? reserve_in_order(retry)
+                         : reserve_of(retry.is_call, retry.remaining_calls);
 }
 
 void retry_order_totals::record(retry_class retried, bool granted) {
--- a/daemon/proxy/return_times.cc
+++ b/daemon/proxy/return_times.cc
@@ -22,8 +22,8 @@
 /// Returns the service whose lack of capacity caused the refusal, or nullptr for another cause. A
 /// service that refuses requests without reporting an overload has capacity: its served rate says
 /// nothing about it.
-auto scarce_name(const forwarded_params& params, const own_answer& answer,
-                 const std::vector<service_overload>& below) -> const std::string* {
+auto scarce_service_of(const forwarded_params& params, const own_answer& answer,
+                       const std::vector<service_overload>& below) -> const std::string* {
   switch (answer.kind) {
     case own_answer_kind::downstream_overload:
       return &answer.detail;
@@ -74,15 +74,15 @@
     return std::nullopt;
   }
   const auto below = this->context.overload.of(params.route->name, now);
-  const auto* name = scarce_name(params, answer, below);
-  if (name == nullptr) {
+  const auto* service = scarce_service_of(params, answer, below);
+  if (service == nullptr) {
     return std::nullopt;
   }
   const auto verdict =
-      this->schedule.on_refused({*name, params.rank}, identity_of(params, head), now);
+      this->schedule.on_refused({*service, params.rank}, identity_of(params, head), now);
   return std::visit(
       overloaded{[](const unplanned_return&) { return std::optional<Duration>(); },
-                 [](const auto& told) { return std::optional<Duration>(told.after); }},
+                 [](const auto& planned) { return std::optional<Duration>(planned.after); }},
       verdict);
 }
 
--- a/daemon/proxy/return_times.h
+++ b/daemon/proxy/return_times.h
@@ -30,7 +30,8 @@
   /// Records that a server answered the request, with success or with an error of the client.
   void on_served(const forwarded_params& params, TimePoint now);
 
-  /// Returns the time in Retry-After of a refusal; std::nullopt if the current rule applies.
+  /// Returns the time in Retry-After of a refusal; std::nullopt if the schedule determines none and
+  /// core/answers/retry_after.h applies.
   auto on_refused(const forwarded_params& params, const HttpHead& head, const own_answer& answer,
                   TimePoint now) -> std::optional<Duration>;
 
@@ -43,7 +44,7 @@
  private:
   const ProxyContext& context;
   return_schedule schedule;
-  return_counts logged;
+  return_counts logged;  // counts as of the last log line
 };
 
 }  // namespace ramppond
