--- a/tests/core/answers/return_load_test.cc
+++ b/tests/core/answers/return_load_test.cc
@@ -1,5 +1,6 @@
 // Simulates clients of an overloaded service that return after a refusal, in virtual time, with
-// return times by the schedule and, as the control, by the current rule.
+// return times by the schedule and, as the control, by core/answers/retry_after.h (the current
+// rule). Guards against a schedule that refuses clients more often or serves fewer of them.
 #include <gtest/gtest.h>
 
 #include <array>
--- a/tests/core/placement/placement_fleet_test.cc
+++ b/tests/core/placement/placement_fleet_test.cc
@@ -27,7 +27,7 @@
 constexpr std::size_t zone_count = 3;
 constexpr std::uint32_t slots = 22;
 // Mean service time at speed 1. With it, a pair of proxies exchanges about 3 (88 proxies) or 0.8
-// (300 proxies) requests per second; the page gives one or fewer.
+// (300 proxies) requests per second; docs/design/0015 assumes one or fewer.
 constexpr double service_us = 80e3;
 constexpr Duration patience = milliseconds(200);  // longest wait for a slot
 constexpr std::size_t max_attempts = 4;
@@ -383,7 +383,7 @@
 // cost more than they may; callers wait longer, or requests leave their zone more often than with
 // the current rule.
 TEST_P(placement_fleet, serves_callers_within_the_limits) {
-  // The page's limits.
+  // The limits of docs/design/0015, part B.
   constexpr double max_arrivals = 1.2;
   constexpr std::size_t max_queries = 2;
   // Between seeds, the p99 of one policy differs by about this share.
--- a/tests/daemon/proxy/load_query_test.cc
+++ b/tests/daemon/proxy/load_query_test.cc
@@ -1,3 +1,4 @@
+// Load queries to peers: what an answer, a late answer and a failure change.
 #include <gtest/gtest.h>
 
 #include "daemon/proxy/load_queries.h"
--- a/tests/daemon/proxy/peer_ping_test.cc
+++ b/tests/daemon/proxy/peer_ping_test.cc
@@ -1,3 +1,4 @@
+// Slowdown in the answers to pings: the directory must not keep a value that no longer applies.
 #include "daemon/proxy/peer_ping.h"
 
 #include <gtest/gtest.h>
--- a/tests/daemon/proxy/retry_order_test.cc
+++ b/tests/daemon/proxy/retry_order_test.cc
@@ -1,3 +1,4 @@
+// The class of a forwarded request's retry, and the totals of the log event `retry_order`.
 #include "daemon/proxy/retry_order.h"
 
 #include <gtest/gtest.h>
