--- a/tests/platform/forwarding_fixture.cc
+++ b/tests/platform/forwarding_fixture.cc
@@ -21,10 +21,14 @@
   }
 }
 
+std::string ForwardingTest::log() const {
+  std::stringstream text;
+  text << std::ifstream(deployment_.folder + "/log").rdbuf();
+  return text.str();
+}
+
 bool ForwardingTest::logContains(const std::string& text) {
-  std::stringstream log;
-  log << std::ifstream(deployment_.folder + "/log").rdbuf();
-  return log.str().find(text) != std::string::npos;
+  return log().find(text) != std::string::npos;
 }
 
 bool isUnsafe(std::size_t number) {
--- a/tests/platform/forwarding_fixture.h
+++ b/tests/platform/forwarding_fixture.h
@@ -46,6 +46,8 @@
     return std::all_of(deployment_.servers.begin(), deployment_.servers.end(),
                        [](const auto& server) { return !server->runs.empty(); });
   }
+  /// Returns what all programs have logged so far.
+  std::string log() const;
   /// Returns whether a program has logged a line that contains `text`.
   bool logContains(const std::string& text);
   int runsOf(const std::string& id) {
--- a/tests/platform/placement_test.cc
+++ b/tests/platform/placement_test.cc
@@ -2,9 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <fstream>
 #include <regex>
-#include <sstream>
 #include <string>
 
 #include "tests/platform/forwarding_fixture.h"
@@ -16,11 +14,6 @@
 
 class PlacementTest : public ForwardingTest {
  protected:
-  std::string log() const {
-    std::stringstream text;
-    text << std::ifstream(deployment_.folder + "/log").rdbuf();
-    return text.str();
-  }
   /// Sends requests, waits for the next log line of each second, and returns whether all were
   /// answered correctly.
   bool allAreServed() {
--- a/tests/platform/retry_order_test.cc
+++ b/tests/platform/retry_order_test.cc
@@ -1,9 +1,6 @@
 // The order of retries with real processes: active while the configuration has tenants.
 #include <gtest/gtest.h>
 
-#include <fstream>
-#include <sstream>
-
 #include "tests/platform/forwarding_fixture.h"
 
 namespace ramppond::fake_platform {
@@ -28,11 +25,6 @@
     }));
     return log();
   }
-  std::string log() const {
-    std::ostringstream text;
-    text << std::ifstream(deployment_.folder + "/log").rdbuf();
-    return text.str();
-  }
   static std::size_t countIn(const std::string& text, const std::string& part) {
     std::size_t count = 0;
     for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
--- a/tests/platform/return_times_test.cc
+++ b/tests/platform/return_times_test.cc
@@ -2,9 +2,7 @@
 // service and are recognised.
 #include <gtest/gtest.h>
 
-#include <fstream>
 #include <memory>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -63,9 +61,7 @@
   }
   /// The number of kept reservations in the last log line of the kind; 0 if there is none.
   int keptReservations() {
-    std::stringstream log;
-    log << std::ifstream(deployment_.folder + "/log").rdbuf();
-    const std::string text = log.str();
+    const std::string text = log();
     const std::string field = "\"kept\":\"";
     const auto last = text.rfind(field);
     return last == std::string::npos ? 0 : std::stoi(text.substr(last + field.size(), 9));
--- a/tests/platform/server_load_test.cc
+++ b/tests/platform/server_load_test.cc
@@ -2,9 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <fstream>
 #include <functional>
-#include <iterator>
 
 #include "tests/platform/forwarding_fixture.h"
 
@@ -103,10 +101,6 @@
     EXPECT_TRUE(deployment_.runUntil([&] { return answered == sent; }));
     return held;
   }
-  std::string log() const {
-    std::ifstream file(deployment_.folder + "/log");
-    return {std::istreambuf_iterator<char>(file), {}};
-  }
 };
 
 TEST_F(ServerLoadTest, SlowdownReachesOtherProxiesInResponsesAndPings) {
