Fair shares: an answer reports its caller's excess as of when the request was judged, too

Callers saw: the requests of a caller beyond its share that had waited in the queue came back without Ramppond-Share. The proxies that sent them shed nothing of it and took what they knew for over; callers within their shares met full queues.

Cause: the excess was computed when the answer was written. While a request waits, the recent work decays with 1 s, and nothing is reported 1 s after the last request was queued. The edge pairs the report with the share that it refused when the request was admitted, so that moment is meant.

Evidence: a line for each answer of the entry's load. Of 68 answers held for 700 to 1,060 ms the excess was above 0 in 31 when judged and in none when answered; of 106 held for 5 to 700 ms in 10 and in 41. The test's own probe: 0.379 when judged, 0 when answered 1.013 s later. The knowledge is there in time, and the load of the test is beyond the share: both other hypotheses are ruled out.

Change: the highest of both moments and of what services further down report (excess_to_report, with a table). The moment of judging alone would lose the 41 answers from which senders learn that a caller grows.

Red before: FairSharesTest.ResponsesReportTheExcessOfTheLargeCallerOnly, unchanged, on: 91 s beside a build here, failed 3 of 3 after 131 s on the users' machine.

--- a/core/admission/share_shedding.cc
+++ b/core/admission/share_shedding.cc
@@ -37,11 +37,14 @@
   return seen > 0 ? 1 - (1 - refused) * (1 - seen) : refused * confirmed_part;
 }
 
+auto permille_of(double excess) -> std::uint32_t {
+  return static_cast<std::uint32_t>(std::lround(std::clamp(excess, 0.0, 1.0) * thousandths));
+}
+
 }  // namespace
 
-auto higher_excess(double excess, reported_excess other) -> reported_excess {
-  const auto permille = std::lround(std::clamp(excess, 0.0, 1.0) * thousandths);
-  return {std::max(static_cast<std::uint32_t>(permille), other.permille)};
+auto excess_to_report(const observed_excess& own, reported_excess downstream) -> reported_excess {
+  return {std::max(permille_of(std::max(own.when_judged, own.now)), downstream.permille)};
 }
 
 auto share_shedding::value_at(const smoothed_excess& excess, TimePoint now) -> double {
@@ -97,7 +100,7 @@
        it != this->known.end() && it->first.first == caller; ++it) {
     highest = std::max(highest, value_at(it->second, now));
   }
-  return higher_excess(highest, {});
+  return {permille_of(highest)};
 }
 
 }  // namespace ramppond
--- a/core/admission/share_shedding.h
+++ b/core/admission/share_shedding.h
@@ -28,8 +28,16 @@
   std::uint32_t permille = 0;
 };
 
-/// Returns the higher one of `excess` (0 to 1) and `other`.
-auto higher_excess(double excess, reported_excess other) -> reported_excess;
+/// The excess of a request's caller at the server's own queue, 0 to 1.
+struct observed_excess {
+  double when_judged = 0;  ///< When the request was dispatched, queued or refused.
+  double now = 0;          ///< When it is answered.
+};
+
+/// Returns what the answer reports: the highest of `own` and of `downstream`, the excess at
+/// services further down. A burst has decayed when the last of its requests are answered, and the
+/// excess of a caller that grows is not known yet when the first ones are judged.
+auto excess_to_report(const observed_excess& own, reported_excess downstream) -> reported_excess;
 
 class share_shedding {
  public:
--- a/daemon/proxy/inbound_answer.cc
+++ b/daemon/proxy/inbound_answer.cc
@@ -126,9 +126,9 @@
     return {};
   }
   const TimePoint now = EventLoop::now();
-  const double own = context_.own.admission().excessOf(admission_, now);
+  const double current = context_.own.admission().excessOf(admission_, now);
   const auto caller = admission_.root ? admission_.root->caller : std::string();
-  return higher_excess(own, context_.shares.highest(caller, now));
+  return excess_to_report({judged_excess_, current}, context_.shares.highest(caller, now));
 }
 
 void InboundRequest::addLoadHeaders(HttpHead& head) {
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -149,8 +149,10 @@
   }
   state_ = State::kAwaitingAdmission;
   admission_.service_time = context_.own.service_time(route_);
-  admission_.slowdown = context_.own.slowdown().factor(EventLoop::now());
-  const AdmissionVerdict verdict = context_.own.admission().offer(admission_, EventLoop::now());
+  const TimePoint now = EventLoop::now();
+  admission_.slowdown = context_.own.slowdown().factor(now);
+  const AdmissionVerdict verdict = context_.own.admission().offer(admission_, now);
+  judged_excess_ = context_.own.admission().excessOf(admission_, now);
   switch (verdict) {
     case AdmissionVerdict::kDispatch:
       onAdmitted();
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -90,7 +90,8 @@
   /// Adds the local server's load, and the overload of services further down, for the sending
   /// proxy.
   void addLoadHeaders(HttpHead& head);
-  /// The excess of the request's caller at the local server or at services further down.
+  /// The excess of the request's caller at the local server, when the request was judged or now, or
+  /// at services further down: the highest of these.
   [[nodiscard]] reported_excess reportedExcess() const;
   [[nodiscard]] answer_progress answerProgress() const;
   /// The request was abandoned; the server may keep working on it for a moment.
@@ -107,6 +108,7 @@
   std::string route_;
   std::optional<request_digest> digest_;
   AdmissionRequest admission_;
+  double judged_excess_ = 0;              ///< Of its caller when the request was judged, 0 to 1.
   std::optional<upload_id> body_memory_;  ///< Set while memory is reserved for a long body.
   TimePoint received_{0};
   TimePoint deadline_{0};
--- a/tests/core/admission/share_fleet.h
+++ b/tests/core/admission/share_fleet.h
@@ -104,6 +104,7 @@
     double refused_share;
     int left;
     TimePoint begun;
+    double excess = 0;  // of its caller, when its latest call was judged
   };
   struct edge {
     downstream_overload overload;
@@ -192,11 +193,12 @@
     return request;
   }
 
-  void call(const tree& caller) {
+  void call(tree caller) {
     const auto at = this->choose();
     auto& server = this->servers[at];
     const auto request = this->request_of(caller);
     const auto verdict = server.admission.offer(request, this->now);
+    caller.excess = server.admission.excessOf(request, this->now);
     if (verdict == AdmissionVerdict::kRefuse) {
       this->report(at, caller);
       this->count(caller, &fleet_count::refused);
@@ -236,8 +238,8 @@
     }
     const auto& admission = this->servers[at].admission;
     const auto level = admission.shedLevel(this->now);
-    const auto excess =
-        higher_excess(admission.excessOf(this->request_of(answered), this->now), {});
+    const auto current = admission.excessOf(this->request_of(answered), this->now);
+    const auto excess = excess_to_report({answered.excess, current}, {});
     this->after(this->plan.report_delay, [this, answered, level, excess] {
       auto& edge = this->edges[answered.edge];
       edge.overload.on_answer("route", {{"scarce", level}}, this->now);
--- a/tests/core/admission/share_shedding_test.cc
+++ b/tests/core/admission/share_shedding_test.cc
@@ -2,11 +2,42 @@
 
 #include <gtest/gtest.h>
 
+#include <ostream>
+#include <string>
+
 namespace ramppond {
 namespace {
 
 constexpr auto step = milliseconds(10);
 
+struct report_case {
+  const char* name;
+  observed_excess own;
+  std::uint32_t downstream;
+  std::uint32_t reported;
+};
+
+void PrintTo(const report_case& tested, std::ostream* out) {
+  *out << tested.name;
+}
+
+class share_report : public testing::TestWithParam<report_case> {};
+
+// Guards against answers that tell nothing of a burst because they come at its end.
+TEST_P(share_report, is_the_highest_excess_known_of_the_request) {
+  const auto& tested = GetParam();
+  EXPECT_EQ(excess_to_report(tested.own, {tested.downstream}).permille, tested.reported);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, share_report,
+                         testing::Values(report_case{"none", {0, 0}, 0, 0},
+                                         report_case{"burst_has_decayed", {0.4, 0}, 0, 400},
+                                         report_case{"grew_while_it_waited", {0, 0.3}, 0, 300},
+                                         report_case{"higher_further_down", {0.1, 0.2}, 250, 250},
+                                         report_case{"lower_further_down", {0.3, 0.2}, 250, 300},
+                                         report_case{"beyond_the_range", {-1, 7}, 0, 1000}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
 class share_shedding_test : public testing::Test {
  protected:
   /// Answers for `length`; `refused` is the share refused when the requests were admitted.
