A body that grows too large breaks off the answer that has begun

Callers saw: a 200 with a server's fields whose body ends in "body too large" and in a last chunk, so that it looks complete. It happens when a server answers before it has read a chunked body, the answer is being relayed, and the body then exceeds max_body_bytes.

Cause: onRequestBody() gave 413 in every state. sendHead() passes over a second head, sendBody() and finish() do not pass over what follows it.

Change: an answer that has begun is broken off; otherwise 413 as before. respond() breaks off too if another answer has begun, so that no other place can write into a server's answer. Looked for elsewhere: all calls of respond() on the forwarding path come before a head; the call port gives whole messages.

--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -55,7 +55,7 @@
   }
   body_.count_received(data.size());
   if (body_.size() > params_.traffic->configuration.limits.max_body_bytes) {
-    answerOwn({own_answer_kind::body_too_large});
+    onBodyTooLarge();
     return;
   }
   if (attempt_) {
@@ -127,6 +127,17 @@
   done();
 }
 
+// An answer of this proxy would become part of the server's answer if that has begun.
+void ForwardedRequest::onBodyTooLarge() {
+  const auto self = shared_from_this();
+  if (state_ != State::kAnswering) {
+    answerOwn({own_answer_kind::body_too_large});
+    return;
+  }
+  attempt_->upstream->cancel();
+  abortAnswer();
+}
+
 void ForwardedRequest::onDeadline() {
   const auto self = shared_from_this();
   if (state_ == State::kDone) {
--- a/daemon/proxy/forwarded_request.h
+++ b/daemon/proxy/forwarded_request.h
@@ -83,6 +83,7 @@
   void bufferBody(std::string_view data);
   /// Returns the memory of a buffered upload, if any.
   void releaseUpload();
+  void onBodyTooLarge();
   void onDeadline();
   /// Cancels the timers and ends the attempt. The caller answers the client.
   void done();
--- a/net/stream/http_server.cc
+++ b/net/stream/http_server.cc
@@ -375,6 +375,10 @@
 }
 
 void ServerExchange::respond(HttpHead head, std::string_view body) {
+  if (head_sent_) {
+    breakOff();
+    return;
+  }
   head.content_length = body.size();
   sendHead(head, BodyFraming::kLength);
   sendBody(body);
--- a/net/stream/http_server.h
+++ b/net/stream/http_server.h
@@ -71,7 +71,8 @@
   void sendHead(const HttpHead& head, BodyFraming framing);
   void sendBody(std::string_view data);
   void finish();
-  /// A whole answer in one go.
+  /// A whole answer in one go. Breaks the answer off if another one has begun, which this one would
+  /// be read as a part of.
   void respond(HttpHead head, std::string_view body);
   /// Breaks the answer off, so that the client sees that it is not complete.
   void breakOff();
--- a/tests/net/stream/http_stream_test.cc
+++ b/tests/net/stream/http_stream_test.cc
@@ -298,6 +298,24 @@
   EXPECT_EQ(client->body.size(), body.size() + 7);
 }
 
+// Guards against the text of one answer in the body of another, whose end would look complete.
+TEST_F(HttpStreamTest, SecondAnswerToARequestBreaksOffTheFirst) {
+  server_ = std::make_unique<StreamHttpServer>(
+      loop_, endpoint_, HttpServerOptions{}, [](const std::shared_ptr<ServerExchange>& exchange) {
+        HttpHead head;
+        head.status = 200;
+        head.fields.push_back({"Request-Id", exchange->request().get("Request-Id")});
+        exchange->sendHead(head, BodyFraming::kChunked);
+        exchange->sendBody("first part");
+        exchange->respond(head, "second answer");
+      });
+  ASSERT_EQ(server_->start(), std::nullopt);
+  const auto client = send("a", "");
+  run();
+  EXPECT_FALSE(client->complete);
+  EXPECT_EQ(client->body.find("second answer"), std::string::npos);
+}
+
 TEST_F(HttpStreamTest, PipelinedRequestsAreAnsweredInOrder) {
   startEcho();
   const std::string answer = sendRaw(
--- a/tests/platform/fake_platform.cc
+++ b/tests/platform/fake_platform.cc
@@ -240,6 +240,10 @@
     return;
   }
   arrivals.push_back(EventLoop::now());
+  if (exchange->request().target.find("/early") != std::string::npos) {
+    answerEarly(exchange);
+    return;
+  }
   const std::weak_ptr<ServerExchange> weak = exchange;
   exchange->setHandler(
       std::make_shared<WholeBodyHandler>(kMaximumBodyBytes, [this, weak](const std::string& body) {
@@ -261,6 +265,21 @@
       }));
 }
 
+void AppServer::answerEarly(const std::shared_ptr<ServerExchange>& exchange) {
+  HttpHead head;
+  head.status = 200;
+  head.fields.push_back({"Request-Id", exchange->request().get("Request-Id")});
+  exchange->sendHead(head, BodyFraming::kChunked);
+  exchange->sendBody(std::string(kEarlyAnswerBytes, 'e'));
+  const std::weak_ptr<ServerExchange> weak = exchange;
+  exchange->setHandler(
+      std::make_shared<WholeBodyHandler>(kMaximumBodyBytes, [weak](const std::string& /*body*/) {
+        if (const auto alive = weak.lock()) {
+          alive->finish();
+        }
+      }));
+}
+
 void AppServer::releaseAnswers() {
   holds_answers = false;
   for (const auto& finish : std::exchange(held_answers_, {})) {
@@ -533,6 +552,24 @@
   return client->received;
 }
 
+std::string Deployment::sendRestLater(const std::string& host, std::uint16_t port,
+                                      const std::string& first, std::size_t awaited_bytes,
+                                      const std::string& rest, const std::string& expected_end) {
+  const auto client = std::make_shared<RawClient>(loop, first);
+  client->open({host, port});
+  const auto has_end = [&] {
+    const std::string& received = client->received;
+    return received.size() >= expected_end.size() &&
+           received.compare(received.size() - expected_end.size(), std::string::npos,
+                            expected_end) == 0;
+  };
+  EXPECT_TRUE(runUntil([&] { return client->ended || client->received.size() >= awaited_bytes; }));
+  client->sendMore(rest);
+  EXPECT_TRUE(runUntil([&] { return client->ended || has_end(); }));
+  client->abort(false);
+  return client->received;
+}
+
 std::string Deployment::sendUnfinished(const std::string& host, std::uint16_t port,
                                        const std::string& bytes) {
   const auto client = std::make_shared<RawClient>(loop, bytes);
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -73,6 +73,9 @@
 
 /// Body size of answers to targets that contain "/large".
 constexpr std::size_t kLargeAnswerBytes = 40U << 20U;
+/// Bytes sent in answer to targets that contain "/early": more than a proxy buffers of an answer.
+/// They are sent once the request head has arrived; the answer ends with the request.
+constexpr std::size_t kEarlyAnswerBytes = 60000;
 
 /// A back-end server that sends heartbeats, echoes each request in its answer and counts the
 /// requests that it has run.
@@ -114,6 +117,7 @@
 
  private:
   void serve(const std::shared_ptr<ServerExchange>& exchange);
+  void answerEarly(const std::shared_ptr<ServerExchange>& exchange);
   void finishWork(const std::shared_ptr<ServerExchange>& exchange, const std::string& body);
   void answer(const std::shared_ptr<ServerExchange>& exchange, const std::string& body);
   /// Responds at once and without a slot, as servers that report four values do.
@@ -170,6 +174,11 @@
   /// until they contain `expected_text` or the connection ends.
   std::string sendInParts(const std::string& host, std::uint16_t port,
                           const std::vector<std::string>& parts, const std::string& expected_text);
+  /// Sends `first`, waits until `awaited_bytes` have been received and sends `rest`. Returns the
+  /// bytes received until the connection ends or its last bytes are `expected_end`.
+  std::string sendRestLater(const std::string& host, std::uint16_t port, const std::string& first,
+                            std::size_t awaited_bytes, const std::string& rest,
+                            const std::string& expected_end);
   /// Sends the bytes of an incomplete message, which may get no answer. Returns the bytes received
   /// within a fixed time.
   std::string sendUnfinished(const std::string& host, std::uint16_t port, const std::string& bytes);
