Names of a configuration cannot add fields to requests

Callers saw: with a tenant named "council", line break, "Caller-Service: forged", acknowledged with 200, each request with its key reached its server with the forged field ahead of the true one. Any field can be added so, those between proxies included. A name with a space at its end was told to servers as the name of another tenant.

Cause: names of tenants, routes and services are any JSON text and were written into header fields as they are; a health path into a request line.

Change: validateNewTraffic() refuses such names and health paths when an operator sends them, with entry and key. A log is applied as before: a member that refused what it holds would come back with an older configuration. For such a log and for the settings, line breaks and null characters in a value are sent as spaces (RFC 9110, 5.5).

--- a/control/coordinator/coordinator_operator.cc
+++ b/control/coordinator/coordinator_operator.cc
@@ -76,7 +76,7 @@
   }
   auto replacement = api_.parseReplacement(base_version, body);
   if (replacement.value) {
-    replacement.error = validateTraffic(replacement.value->configuration).value_or("");
+    replacement.error = validateNewTraffic(replacement.value->configuration).value_or("");
   }
   if (!replacement.value || !replacement.error.empty()) {
     refuseConfiguration(exchange, replacement.error);
--- a/core/traffic/traffic_configuration.cc
+++ b/core/traffic/traffic_configuration.cc
@@ -72,6 +72,64 @@
   return std::nullopt;
 }
 
+bool isControl(unsigned char character) {
+  return character < 0x20 || character == 0x7F;
+}
+
+bool isControlOrSpace(unsigned char character) {
+  return isControl(character) || character == ' ';
+}
+
+/// The name without control characters, for an error.
+std::string printable(std::string name) {
+  std::replace_if(name.begin(), name.end(), isControl, '?');
+  return name;
+}
+
+// Receivers of a header field remove spaces at its ends, so that two tenants would get one name.
+bool fitsHeaderField(const std::string& name) {
+  return name.empty() || (std::none_of(name.begin(), name.end(), isControl) &&
+                          name.front() != ' ' && name.back() != ' ');
+}
+
+std::optional<std::string> validateName(const std::string& kind, const std::string& name) {
+  if (fitsHeaderField(name)) {
+    return std::nullopt;
+  }
+  return kind + " '" + printable(name) +
+         "': name: expected no control characters and no space at either end";
+}
+
+std::optional<std::string> validateService(const ServiceDefinition& service) {
+  if (auto error = validateName("service", service.name)) {
+    return error;
+  }
+  const std::string& path = service.health_path;
+  if (std::any_of(path.begin(), path.end(), isControlOrSpace)) {
+    return "service '" + service.name + "': health path: expected visible characters";
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> validateNames(const TrafficConfiguration& configuration) {
+  for (const ServiceDefinition& service : configuration.services) {
+    if (auto error = validateService(service)) {
+      return error;
+    }
+  }
+  for (const TrafficRoute& route : configuration.routes) {
+    if (auto error = validateName("route", route.name)) {
+      return error;
+    }
+  }
+  for (const TenantDefinition& tenant : configuration.tenants) {
+    if (auto error = validateName("tenant", tenant.name)) {
+      return error;
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 std::optional<std::string> validateTraffic(const TrafficConfiguration& configuration) {
@@ -87,6 +145,13 @@
   return validateTenants(configuration.tenants);
 }
 
+std::optional<std::string> validateNewTraffic(const TrafficConfiguration& configuration) {
+  if (auto error = validateNames(configuration)) {
+    return error;
+  }
+  return validateTraffic(configuration);
+}
+
 TrafficRoutes::TrafficRoutes(const TrafficConfiguration& configuration) {
   for (const TrafficRoute& route : configuration.routes) {
     by_host_[lowerCase(route.host)].push_back(&route);
--- a/core/traffic/traffic_configuration.h
+++ b/core/traffic/traffic_configuration.h
@@ -3,8 +3,9 @@
 //
 // Validates configurations, selects the route of a request and the service of the route's split
 // that serves it. The adapter of a document format parses and prints the operator's document. Every
-// process that accepts a configuration validates it with validateTraffic(). No I/O; the data types
-// may be read from any thread.
+// process that accepts a configuration validates it with validateTraffic(); the process that takes
+// it from an operator uses validateNewTraffic(). No I/O; the data types may be read from any
+// thread.
 #pragma once
 
 #include <cstdint>
@@ -146,6 +147,11 @@
 /// with the one in force.
 std::optional<std::string> validateTraffic(const TrafficConfiguration& configuration);
 
+/// Validates a configuration that an operator sends: validateTraffic(), and whether its names can
+/// be sent in header fields and come out as they went in. Configurations that are already in a
+/// log are not checked for this, so that every version applies the same log alike.
+std::optional<std::string> validateNewTraffic(const TrafficConfiguration& configuration);
+
 /// Finds routes by host and longest path prefix. Refers to the configuration that it was built
 /// from, which must outlive it.
 class TrafficRoutes {
--- a/net/stream/http_head.cc
+++ b/net/stream/http_head.cc
@@ -48,11 +48,23 @@
   return names;
 }
 
+bool endsField(char character) {
+  return character == '\r' || character == '\n' || character == '\0';
+}
+
+// Replaces what would end a line of the head (RFC 9110, 5.5): the rest of the text would be read as
+// another field.
+void appendText(std::string& bytes, const std::string& text) {
+  const std::size_t begin = bytes.size();
+  bytes += text;
+  std::replace_if(bytes.begin() + static_cast<std::ptrdiff_t>(begin), bytes.end(), endsField, ' ');
+}
+
 void appendFields(std::string& bytes, const HttpHead& head, BodyFraming framing) {
   for (const HttpField& field : head.fields) {
     bytes += field.name;
     bytes += ": ";
-    bytes += field.value;
+    appendText(bytes, field.value);
     bytes += "\r\n";
   }
   if (framing == BodyFraming::kLength) {
--- a/net/stream/http_head.h
+++ b/net/stream/http_head.h
@@ -48,7 +48,8 @@
 /// How the body of a message that came is framed.
 BodyFraming framingOf(const HttpHead& head);
 
-/// The bytes of a request head or a response head, with the framing fields.
+/// The bytes of a request head or a response head, with the framing fields. Line breaks and null
+/// characters in the value of a field are sent as spaces.
 std::string requestHeadBytes(const HttpHead& head, BodyFraming framing);
 std::string responseHeadBytes(const HttpHead& head, BodyFraming framing, bool close);
 /// One chunk; `data` must not be empty.
--- a/tests/core/traffic/traffic_configuration_test.cc
+++ b/tests/core/traffic/traffic_configuration_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <ostream>
+#include <string>
 
 #include "core/cbor_codec.h"
 #include "core/traffic/traffic_state.h"
@@ -75,6 +77,66 @@
   EXPECT_NE(broken([](TrafficRoute& bad) { bad.path_prefix = "a/"; }), "");
 }
 
+struct NameCase {
+  const char* name;
+  std::string value;
+  bool is_valid;
+};
+
+void PrintTo(const NameCase& tested, std::ostream* out) {
+  *out << tested.name;
+}
+
+class TrafficNames : public testing::TestWithParam<NameCase> {};
+
+// Guards against names that end the header field in which they are sent, and against two names that
+// a receiver takes for one.
+TEST_P(TrafficNames, AreCheckedInWhatAnOperatorSends) {
+  const NameCase& tested = GetParam();
+  TrafficConfiguration tenant = configuration(1);
+  tenant.tenants.push_back({tested.value, {}, 0, 0, 0});
+  EXPECT_EQ(validateNewTraffic(tenant) == std::nullopt, tested.is_valid);
+  TrafficConfiguration route = configuration(1);
+  route.routes.front().name = tested.value;
+  EXPECT_EQ(validateNewTraffic(route) == std::nullopt, tested.is_valid);
+  TrafficConfiguration service = configuration(1);
+  service.services.push_back({tested.value, "/health", 10});
+  EXPECT_EQ(validateNewTraffic(service) == std::nullopt, tested.is_valid);
+}
+
+// A member that refuses what its log holds would come back with an older configuration.
+TEST_P(TrafficNames, DoNotChangeWhatALogApplies) {
+  TrafficReplacement stored = replacement(0, 2, "stored");
+  stored.configuration.tenants.push_back({GetParam().value, {}, 0, 0, 0});
+  TrafficState state;
+  EXPECT_EQ(state.apply(stored, 5).error, ErrorKind::kNone);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, TrafficNames,
+                         testing::Values(NameCase{"plain", "council", true},
+                                         NameCase{"space_inside", "shire council", true},
+                                         NameCase{"utf8",
+                                                  "\xC3\xA9"
+                                                  "cole",
+                                                  true},
+                                         NameCase{"line_break", "a\nb", false},
+                                         NameCase{"carriage_return", "a\rb", false},
+                                         NameCase{"null", std::string("a\0b", 3), false},
+                                         NameCase{"tab", "a\tb", false},
+                                         NameCase{"delete", "a\x7F", false},
+                                         NameCase{"space_at_start", " a", false},
+                                         NameCase{"space_at_end", "a ", false}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+TEST(TrafficValidation, HealthPathHasVisibleCharactersOnly) {
+  for (const char* path : {"/health x", "/health\r\n", "/\t"}) {
+    TrafficConfiguration bad = configuration(1);
+    bad.services.front().health_path = path;
+    EXPECT_NE(validateNewTraffic(bad), std::nullopt) << path;
+    EXPECT_EQ(validateTraffic(bad), std::nullopt) << path;
+  }
+}
+
 TEST(TrafficState, SecondReplacementOfOneBaseIsAConflict) {
   TrafficState state;
   EXPECT_EQ(state.apply(replacement(0, 2, "first"), 5).error, ErrorKind::kNone);
--- a/tests/net/stream/http_stream_test.cc
+++ b/tests/net/stream/http_stream_test.cc
@@ -289,6 +289,16 @@
   EXPECT_EQ(pool().counters().connections_opened, 1U);
 }
 
+// Guards against a value that adds a field of its own to the head.
+TEST(HttpHead, ValueOfAFieldCannotEndItsLine) {
+  HttpHead head;
+  head.method = "GET";
+  head.target = "/";
+  head.fields.push_back({"Tenant", std::string("a\r\nForged: 1\0", 13)});
+  EXPECT_EQ(requestHeadBytes(head, BodyFraming::kNone),
+            "GET / HTTP/1.1\r\nTenant: a  Forged: 1 \r\n\r\n");
+}
+
 TEST_F(HttpStreamTest, LargeBodiesPassBothWays) {
   startEcho();
   const std::string body(3000000, 'x');
--- a/tests/platform/refused_configuration_test.cc
+++ b/tests/platform/refused_configuration_test.cc
@@ -75,6 +75,36 @@
        }
      },
      "tenant 'second': keys: expected keys that no other entry has, found one of tenant 'first'"},
+    {"tenant_name_with_line_break",
+     [](Json& document) {
+       document["resources"].push_back({{"type", "tenants"},
+                                        {"meta", {{"name", "council\r\nDeadline-Ms: 1"}}},
+                                        {"spec", {{"api_keys", {kKey}}}}});
+     },
+     "tenant 'council??Deadline-Ms: 1': name: expected no control characters and no space at "
+     "either end"},
+    {"tenant_name_with_space_at_the_end",
+     [](Json& document) {
+       document["resources"].push_back({{"type", "tenants"},
+                                        {"meta", {{"name", "council "}}},
+                                        {"spec", {{"api_keys", {kKey}}}}});
+     },
+     "tenant 'council ': name: expected no control characters and no space at either end"},
+    {"route_name_with_null",
+     [](Json& document) { document["resources"][0]["meta"]["name"] = std::string("r-one\0", 6); },
+     "route 'r-one?': name: expected no control characters and no space at either end"},
+    {"service_name_with_tab",
+     [](Json& document) {
+       document["resources"].push_back({{"type", "services"},
+                                        {"meta", {{"name", "th\tree"}}},
+                                        {"spec", {{"health_path", "/health"}}}});
+     },
+     "service 'th?ree': name: expected no control characters and no space at either end"},
+    {"health_path_with_second_request",
+     [](Json& document) {
+       specOf(document, "services", 0)["health_path"] = "/health HTTP/1.1\r\nHost: h\r\n\r\nGET /";
+     },
+     "service 'one': health path: expected visible characters"},
 };
 
 class RefusedConfiguration : public ForwardingTest {
--- a/tests/platform/tenants_test.cc
+++ b/tests/platform/tenants_test.cc
@@ -173,6 +173,22 @@
   EXPECT_TRUE(allMachinesAnswer(kOtherKey, 200));
 }
 
+// Guards against a tenant's name that adds a header field to its requests: its server would see a
+// forged calling service.
+TEST_F(TenantsTest, NameWithLineBreakAddsNoField) {
+  const std::string name = R"(council\r\nCaller-Service: forged)";
+  EXPECT_EQ(deployment_.put("00000003", tenantDocument("00000004", {{name, {kKey}}})), 400);
+  constexpr int kRequests = 40;  // Some of them would come after the configuration is in force.
+  for (int number = 0; number < kRequests; ++number) {
+    const int machine = number % Deployment::kServerMachines;
+    EXPECT_EQ(sendWithCredential(machine, std::string("Bearer ") + kKey).status, 200);
+    EXPECT_EQ(tenantSeenByServer(), "council");
+    for (const auto& server : deployment_.servers) {
+      ASSERT_NE(server->caller_service, "forged");
+    }
+  }
+}
+
 TEST_F(TenantsTest, LogsContainNoKey) {
   sendWithCredential(0, std::string("Bearer ") + kKey, "/none/x");
   sendWithCredential(0, "Bearer nobodys-own-key");
