Circuit breaker: a probe that is not dispatched hands its turn back

Callers saw: a server that has recovered stays out. The first request after the breaker's pause is let in as the probe and then refused beside the server, for its limit or for want of room; all requests of the next second are refused with "server fails", and each refused probe costs another second.

Cause: the breaker leaves half-open by the outcome of the probe or after 1 s. A request that the admission refuses, or whose client leaves, has no outcome.

Change: a request keeps the time at which the breaker let it in until it is dispatched, and hands its turn back if it ends before (on_not_sent). Word of an earlier probe does not undo a later one. Looked for elsewhere: probes that were dispatched but not sent were told before; the call port has no breaker; places of requests that run alone are handed back.

--- a/core/admission/circuit_breaker.cc
+++ b/core/admission/circuit_breaker.cc
@@ -28,7 +28,7 @@
     if (now < from + reserved) {
       return false;
     }
-    this->state = half_open{now, pause};
+    this->state = half_open{now, pause, from};
     return true;
   };
   return std::visit(
@@ -62,4 +62,11 @@
   }
 }
 
+void circuit_breaker::on_not_sent(TimePoint admitted_at) {
+  const auto* s = std::get_if<half_open>(&this->state);
+  if (s != nullptr && s->since == admitted_at) {
+    this->state = open{s->open_until, s->pause};
+  }
+}
+
 }  // namespace ramppond
--- a/core/admission/circuit_breaker.h
+++ b/core/admission/circuit_breaker.h
@@ -34,6 +34,10 @@
   /// Records that an admitted request ended in a way that says nothing about the server.
   void on_unknown(TimePoint now);
 
+  /// Records that the request admitted at `admitted_at` was not sent to the server. If it was the
+  /// probe, the next request may be the probe in its place.
+  void on_not_sent(TimePoint admitted_at);
+
   [[nodiscard]] auto is_closed() const -> bool {
     return std::holds_alternative<closed>(this->state);
   }
@@ -49,6 +53,7 @@
   struct half_open {
     TimePoint since;  // time at which the probe was admitted
     Duration pause;
+    TimePoint open_until;  // end of the pause before the probe
   };
 
   std::variant<closed, open, half_open> state;
--- a/daemon/proxy/inbound_request.cc
+++ b/daemon/proxy/inbound_request.cc
@@ -143,13 +143,14 @@
 }
 
 void InboundRequest::requestAdmission() {
-  if (!context_.own.breaker_admits(retryable_)) {
+  const TimePoint now = EventLoop::now();
+  if (!context_.own.breaker_admits(retryable_, now)) {
     refuse(inbound_refusal::breaker_open);
     return;
   }
+  breaker_admitted_ = now;
   state_ = State::kAwaitingAdmission;
   admission_.service_time = context_.own.service_time(route_);
-  const TimePoint now = EventLoop::now();
   admission_.slowdown = context_.own.slowdown().factor(now);
   const AdmissionVerdict verdict = context_.own.admission().offer(admission_, now);
   judged_excess_ = context_.own.admission().excessOf(admission_, now);
@@ -171,6 +172,7 @@
 }
 
 void InboundRequest::onAdmitted() {
+  breaker_admitted_.reset();
   in_flight_ = true;
   begun_ = EventLoop::now();
   begun_work_ = context_.own.slowdown().work_clock(begun_);
@@ -281,6 +283,10 @@
 
 void InboundRequest::done() {
   state_ = State::kDone;
+  if (breaker_admitted_) {
+    context_.own.on_not_dispatched(*breaker_admitted_);
+    breaker_admitted_.reset();
+  }
   releaseBodyMemory();
   context_.guard.leave(admission_.id);
 }
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -112,6 +112,8 @@
   std::optional<upload_id> body_memory_;  ///< Set while memory is reserved for a long body.
   TimePoint received_{0};
   TimePoint deadline_{0};
+  /// When the circuit breaker admitted the request; set until the request is dispatched.
+  std::optional<TimePoint> breaker_admitted_;
   TimePoint begun_{0};                   ///< When the request was admitted.
   std::optional<TimePoint> begun_work_;  ///< The same by machine_slowdown::work_clock().
   std::string body_;  ///< Bytes received before the request was sent to the server.
--- a/daemon/proxy/own_server.cc
+++ b/daemon/proxy/own_server.cc
@@ -190,8 +190,8 @@
   return this->server.admit(incarnation, service, EventLoop::now());
 }
 
-auto own_server::breaker_admits(bool retryable) -> bool {
-  return this->breaker.admit(retryable, EventLoop::now());
+auto own_server::breaker_admits(bool retryable, TimePoint now) -> bool {
+  return this->breaker.admit(retryable, now);
 }
 
 auto own_server::service_time(const std::string& route) const -> std::optional<Duration> {
--- a/daemon/proxy/own_server.h
+++ b/daemon/proxy/own_server.h
@@ -69,7 +69,10 @@
   [[nodiscard]] auto fence(const std::string& incarnation, const std::string& service) const
       -> FenceVerdict;
   /// Whether the circuit breaker admits a request now.
-  auto breaker_admits(bool retryable) -> bool;
+  auto breaker_admits(bool retryable, TimePoint now = EventLoop::now()) -> bool;
+  /// A request that the circuit breaker admitted at `admitted_at` was refused or has left before it
+  /// was dispatched.
+  void on_not_dispatched(TimePoint admitted_at) { this->breaker.on_not_sent(admitted_at); }
   /// The service time of requests of `route` at usual speed; std::nullopt before the first one has
   /// completed.
   [[nodiscard]] auto service_time(const std::string& route) const -> std::optional<Duration>;
--- a/tests/core/admission/circuit_breaker_test.cc
+++ b/tests/core/admission/circuit_breaker_test.cc
@@ -88,5 +88,30 @@
   EXPECT_TRUE(this->breaker.admit(true, this->now + milliseconds(152)));
 }
 
+// Guards against a recovered server that stays out because its probe was refused for want of room.
+TEST_F(open_breaker, probe_that_was_not_sent_is_followed_by_the_next_request) {
+  const auto probed = this->now + milliseconds(700);
+  ASSERT_TRUE(this->breaker.admit(false, probed));
+  this->breaker.on_not_sent(probed);
+  EXPECT_TRUE(this->breaker.admit(false, probed + milliseconds(1)));
+}
+
+TEST_F(open_breaker, late_word_of_a_probe_that_was_not_sent_does_not_admit_a_second_one) {
+  const auto first = this->now + milliseconds(150);
+  const auto second = first + seconds(1);
+  ASSERT_TRUE(this->breaker.admit(true, first));
+  ASSERT_TRUE(this->breaker.admit(true, second));
+  this->breaker.on_not_sent(first);
+  EXPECT_FALSE(this->breaker.admit(true, second + milliseconds(1)));
+}
+
+TEST_F(open_breaker, request_that_was_not_sent_does_not_close_or_open_it) {
+  this->breaker.on_not_sent(this->now);
+  EXPECT_FALSE(this->breaker.admit(true, this->now + milliseconds(149)));
+  auto closed = circuit_breaker();
+  closed.on_not_sent(this->now);
+  EXPECT_TRUE(closed.is_closed());
+}
+
 }  // namespace
 }  // namespace ramppond
--- a/tests/platform/fake_platform.cc
+++ b/tests/platform/fake_platform.cc
@@ -341,7 +341,7 @@
   runs[id] += 1;
   tenants[id] = request.get("Tenant");
   credentials_seen += request.find("Authorization") == nullptr ? 0 : 1;
-  head.status = 200;
+  head.status = fails ? 500 : 200;
   head.fields.push_back({"Server-Stamp", "stamp-" + id});
   if (request.target.find("/large") != std::string::npos) {
     exchange->respond(std::move(head), std::string(kLargeAnswerBytes, 'x'));
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -108,6 +108,7 @@
   bool reports_leaving =
       false;  ///< Announces in each answer that it leaves; heartbeats still say ready.
   std::vector<TimePoint> arrivals;  ///< Arrival time of each request.
+  bool fails = false;               ///< Answers requests with 500 once it has run them.
   bool holds_answers = false;  ///< Requests that have been worked on wait for releaseAnswers().
   /// Answers the requests that were held, and no longer holds any.
   void releaseAnswers();
