A client that leaves before its request is sent gives its limit back

Callers saw: 429 for a tenant within its limit. Requests whose clients send a head and part of a body and leave are received by no server and yet use up the limit.

Cause: a request is charged when its head is read; the charge is taken back when the proxy answers that it has not run. A client that left gets no answer.

Change: onClientGone() takes the charge back unless a server may have received the request, by the condition that decides between 503 and 504 at the deadline. Looked for elsewhere: a request that waits beside a server stays charged, since it may have arrived; the call port has no tenants.

--- a/daemon/proxy/forwarded_answer.cc
+++ b/daemon/proxy/forwarded_answer.cc
@@ -231,8 +231,8 @@
   if (form.promise != run_promise::rejected) {
     context_.last_failed_forward = now;
   }
-  if (params_.counted_by_quota && form.promise == run_promise::not_run) {
-    context_.quotas.on_not_run(params_.tenant->name, now);
+  if (form.promise == run_promise::not_run) {
+    refundQuota();
   }
 }
 
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -121,6 +121,9 @@
     return;
   }
   context_.counters.clients_gone += 1;
+  if (!mayHaveRun()) {
+    refundQuota();
+  }
   if (attempt_) {
     attempt_->upstream->cancel();
   }
@@ -143,7 +146,7 @@
   if (state_ == State::kDone) {
     return;
   }
-  const bool may_have_run = history_.may_have_run || (attempt_ && attempt_->may_have_arrived());
+  const bool may_have_run = mayHaveRun();
   if (attempt_) {
     attempt_->upstream->cancel();
   }
@@ -155,6 +158,16 @@
   answerOwn(answer_at_deadline(may_have_run));
 }
 
+bool ForwardedRequest::mayHaveRun() const {
+  return history_.may_have_run || (attempt_ && attempt_->may_have_arrived());
+}
+
+void ForwardedRequest::refundQuota() {
+  if (params_.counted_by_quota) {
+    context_.quotas.on_not_run(params_.tenant->name, EventLoop::now());
+  }
+}
+
 void ForwardedRequest::abortAnswer() {
   context_.counters.broken_off += 1;
   done();
--- a/daemon/proxy/forwarded_request.h
+++ b/daemon/proxy/forwarded_request.h
@@ -85,6 +85,10 @@
   void releaseUpload();
   void onBodyTooLarge();
   void onDeadline();
+  /// Whether a server may have received the complete request in this or an earlier attempt.
+  [[nodiscard]] bool mayHaveRun() const;
+  /// The request has provably not run: it no longer counts against its tenant's limit.
+  void refundQuota();
   /// Cancels the timers and ends the attempt. The caller answers the client.
   void done();
 
--- a/tests/platform/fake_platform.cc
+++ b/tests/platform/fake_platform.cc
@@ -1,9 +1,12 @@
 #include "tests/platform/fake_platform.h"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <signal.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/time.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -579,6 +582,22 @@
   return client->received;
 }
 
+void Deployment::abandon(const std::string& host, std::uint16_t port, const std::string& bytes) {
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  ::inet_pton(AF_INET, host.c_str(), &address.sin_addr);
+  const int client = ::socket(AF_INET, SOCK_STREAM, 0);
+  const timeval time_limit = {5, 0};
+  ::setsockopt(client, SOL_SOCKET, SO_RCVTIMEO, &time_limit, sizeof time_limit);
+  EXPECT_EQ(::connect(client, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
+  EXPECT_EQ(::send(client, bytes.data(), bytes.size(), 0), static_cast<ssize_t>(bytes.size()));
+  ::shutdown(client, SHUT_WR);
+  char byte = 0;
+  EXPECT_EQ(::recv(client, &byte, 1, 0), 0) << "the connection was not closed";
+  ::close(client);
+}
+
 int Deployment::readiness(int machine) {
   Request request;
   request.target = "/api/ready";
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -183,6 +183,9 @@
   /// Sends the bytes of an incomplete message, which may get no answer. Returns the bytes received
   /// within a fixed time.
   std::string sendUnfinished(const std::string& host, std::uint16_t port, const std::string& bytes);
+  /// Sends the bytes of an incomplete message and leaves. Returns once the receiver has closed the
+  /// connection.
+  void abandon(const std::string& host, std::uint16_t port, const std::string& bytes);
   int readiness(int machine);
   /// Runs the loop until `condition` holds. Returns false on a timeout.
   bool runUntil(const std::function<bool()>& condition);
--- a/tests/platform/tenants_test.cc
+++ b/tests/platform/tenants_test.cc
@@ -189,6 +189,29 @@
   }
 }
 
+// Guards against a limit that is used up by requests which no server has received: the tenant's
+// other requests would be refused with 429.
+TEST_F(TenantsTest, RequestsAbandonedBeforeTheyAreSentDoNotCountAgainstTheLimit) {
+  constexpr int kRate = 20;
+  ASSERT_EQ(deployment_.put("00000003", tenantDocument("00000004", {{"council", {kKey}, kRate},
+                                                                    {"grazier", {kOtherKey}}})),
+            200);
+  ASSERT_TRUE(deployment_.runUntil([this] { return allMachinesAnswer(kOtherKey, 200); }));
+  deployment_.runFor(seconds(2));  // The bucket of a new limit is empty.
+  // Of each kind fewer than the limit, of both together more.
+  constexpr Duration kPause = milliseconds(80);
+  constexpr int kRequests = 144;
+  for (int number = 0; number < kRequests; ++number) {
+    const int machine = number % Deployment::kServerMachines;
+    deployment_.abandon(deployment_.serverHost(machine), deployment_.ports.clients,
+                        "POST /one/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: gone-" +
+                            std::to_string(number) + "\r\nAuthorization: Bearer " + kKey +
+                            "\r\nContent-Length: 10\r\n\r\nhalf");
+    EXPECT_EQ(sendWithCredential(machine, std::string("Bearer ") + kKey).status, 200) << number;
+    deployment_.runFor(kPause);
+  }
+}
+
 TEST_F(TenantsTest, LogsContainNoKey) {
   sendWithCredential(0, std::string("Bearer ") + kKey, "/none/x");
   sendWithCredential(0, "Bearer nobodys-own-key");
