Raft: a removed member's vote request does not end a leader's term; findings

The finding (observeTerm takes a higher term from a sender that is no voter) is allowed: only while no leader is heard, when it costs an election at the most. A leader, and all that hear one, drop the request.

--- a/tests/core/consensus/raft_test.cc
+++ b/tests/core/consensus/raft_test.cc
@@ -127,6 +127,18 @@
     node.applied.clear();
     start(node);
   }
+  /// Sends a request for a vote whose log is as long as that of any member.
+  void sendVoteRequest(NodeId from, NodeId to, Term term) {
+    RaftMessage request;
+    request.type = RaftMessageType::kVoteRequest;
+    request.group_id = kGroup;
+    request.from = from;
+    request.to = to;
+    request.term = term;
+    request.log_index = 1000;
+    request.log_term = term;
+    network_.push_back(std::move(request));
+  }
   bool alive(NodeId id) { return at(id).raft != nullptr; }
   RaftNode& raft(NodeId id) { return *at(id).raft; }
   const std::vector<std::string>& applied(NodeId id) { return at(id).applied; }
@@ -263,6 +275,30 @@
   EXPECT_EQ(cluster.leader()->term(), before);
 }
 
+// Guards against a machine that was removed, has a higher term and ends the term of a leader.
+TEST(Raft, VoteRequestOfRemovedMemberDoesNotEndALeadersTerm) {
+  Cluster cluster(3, 4);
+  RaftNode* leader = cluster.leader();
+  const Term before = leader->term();
+  const NodeId removed = leader->id() == 1 ? 2 : 1;
+  cluster.crash(removed);
+  Membership without = leader->membership();
+  without.members.erase(std::remove_if(without.members.begin(), without.members.end(),
+                                       [&](const Member& member) { return member.id == removed; }),
+                        without.members.end());
+  ASSERT_TRUE(leader->proposeMembership(without));
+  cluster.run(50);
+  for (const NodeId id : {NodeId{1}, NodeId{2}, NodeId{3}}) {
+    if (id != removed) {
+      cluster.sendVoteRequest(removed, id, before + 7);
+    }
+  }
+  cluster.run(100);
+  ASSERT_NE(cluster.leader(), nullptr);
+  EXPECT_EQ(cluster.leader(), leader);
+  EXPECT_EQ(leader->term(), before);
+}
+
 TEST(Raft, LinearizableReadWithoutQuorumIsNotServed) {
   Cluster cluster(3, 5);
   RaftNode* leader = cluster.leader();
