Control member: log that it opens its folder and that a write was slow

For the open finding of 20 s without a leader at a start beside busy disks: what an operator saw was two members that did not answer. A member listens only once it has read and synced its folder, and said nothing until then, so a wait for the disk looked like an election that fails. "opening" before, and "storage_slow" with the time of a write of a second or more, tell them apart. Not traced: the start was not seen again.

--- a/control/control_process.cc
+++ b/control/control_process.cc
@@ -37,6 +37,9 @@
 constexpr std::size_t kPollsPerRound = 32;
 // Further polls are refused at once: their daemons would time out before they are handled.
 constexpr std::size_t kMaximumWaitingPolls = 4096;
+// A write that takes longer is logged: the member answers nobody meanwhile.
+constexpr Duration kSlowWrite = seconds(1);
+constexpr std::int64_t kMicrosecondsPerMillisecond = 1000;
 
 }  // namespace
 
@@ -75,6 +78,8 @@
   void respond(HttpToken token, const ControlReply& reply);
   void run();
   void work(TimePoint now);
+  /// Makes the work durable. Returns false if a write failed.
+  bool persist(const ControlWork& work);
   void executeWork(const ControlWork& work);
   void onHttp(HttpToken token, const HttpRequest& request);
   void queueRaftMessage(const RaftMessage& message);
@@ -114,6 +119,7 @@
   if (auto error = files_.prepare()) {
     return error;
   }
+  logChange("opening", {{"folder", settings_.data_folder}});
   if (auto error = storage_.open(randomNumber())) {
     return settings_.data_folder + "/" + *error;
   }
@@ -245,9 +251,7 @@
     if (work.empty()) {
       break;
     }
-    const bool durable =
-        storage_.persist(work.raft) && (!work.snapshot || storage_.saveSnapshot(*work.snapshot));
-    if (!durable) {
+    if (!persist(work)) {
       // The contents on disk are unknown now, so the member must not acknowledge anything further.
       logChange("storage_failed", {{"folder", settings_.data_folder}});
       std::_Exit(EXIT_FAILURE);
@@ -262,6 +266,19 @@
   }
 }
 
+bool ControlProcess::Impl::persist(const ControlWork& work) {
+  const TimePoint begun = monotonicNow();
+  const bool durable =
+      storage_.persist(work.raft) && (!work.snapshot || storage_.saveSnapshot(*work.snapshot));
+  const Duration taken = monotonicNow() - begun;
+  if (taken >= kSlowWrite) {
+    logChange("storage_slow",
+              {{"folder", settings_.data_folder},
+               {"ms", std::to_string(taken.count() / kMicrosecondsPerMillisecond)}});
+  }
+  return durable;
+}
+
 void ControlProcess::Impl::executeWork(const ControlWork& work) {
   for (const RaftMessage& message : work.raft.messages) {
     queueRaftMessage(message);
