TenantsTest: wait until every machine refuses an unknown key

Cause: SetUp() waited until each machine answers 200 to a key of the new configuration. Change: it also waits for 401 to an unknown key on each machine, which is stricter. No check changed. Measured: InvalidCredentialsAreRefusedWithoutRun, ServerReceivesTenantButNeverKey and NameWithLineBreakAddsNoField together, 16 processes at a time: before 11 of 200 runs failed, after 0 of 200. All 12 tests of the group passed once alone.

--- a/tests/platform/tenants_test.cc
+++ b/tests/platform/tenants_test.cc
@@ -12,6 +12,7 @@
 
 const char kKey[] = "key-of-the-council-0001";
 const char kOtherKey[] = "key-of-the-council-0002";
+const char kUnknownKey[] = "key-of-nobody";
 const char kRevocation[] = "revoke_s=1.5";
 constexpr Duration kRevocationTime = milliseconds(1500);
 
@@ -23,8 +24,10 @@
     ASSERT_EQ(
         deployment_.put("00000002", tenantDocument("00000003", {{"council", {kKey, kOtherKey}}})),
         200);
-    ASSERT_TRUE(deployment_.runUntil([this] { return allMachinesAnswer(kKey, 200); }));
-    // A daemon that knows no tenants yet forwards a credential like any other field.
+    // A daemon that knows no tenants yet forwards a credential like any other field and answers 200
+    // to every key; only the refusal of an unknown key shows that the configuration is in force.
+    ASSERT_TRUE(deployment_.runUntil(
+        [this] { return allMachinesAnswer(kUnknownKey, 401) && allMachinesAnswer(kKey, 200); }));
     for (const auto& server : deployment_.servers) {
       server->credentials_seen = 0;
     }
