--- a/control/coordinator/coordinator_process.cc
+++ b/control/coordinator/coordinator_process.cc
@@ -234,6 +234,7 @@
     core_->done(work, now);
   }
   logStateChange();
+  logReplacements();
 }
 
 void CoordinatorProcess::executeWork(const ControlWork& work) {
@@ -375,6 +376,23 @@
   logEvent(now, "settings_taken");
 }
 
+void CoordinatorProcess::logReplacements() {
+  const std::int64_t now = EventLoop::now().count();
+  for (const RecordReplacement& replaced : core_->takeReplacements()) {
+    if (!replacement_log_.allow(now)) {
+      continue;
+    }
+    logEvent(now, replacement_log_.event(),
+             {{"proxy", replaced.now.proxy_address},
+              {"process_before", std::to_string(replaced.before.proxy_incarnation)},
+              {"instance_before", replaced.before.server_incarnation},
+              {"state_before", nameOf(replaced.before.state)},
+              {"process", std::to_string(replaced.now.proxy_incarnation)},
+              {"instance", replaced.now.server_incarnation},
+              {"state", nameOf(replaced.now.state)}});
+  }
+}
+
 void CoordinatorProcess::logStateChange() {
   const RaftNode& raft = core_->raft();
   const bool leads = raft.role() == RaftRole::kLeader;
--- a/control/coordinator/coordinator_process.h
+++ b/control/coordinator/coordinator_process.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 
+#include "common/event_log.h"
 #include "common/settings_watch.h"
 #include "control/coordinator/coordinator_settings.h"
 #include "core/control/control_core.h"
@@ -67,6 +68,8 @@
   void onSignal(int signal);
   void rereadSettings();
   void logStateChange();
+  /// Logs the records that restarted proxies have replaced.
+  void logReplacements();
 
   EventLoop loop_;
   const ExternalApi& api_;
@@ -91,6 +94,7 @@
   TimePoint next_join_{0};
   TimePoint next_settings_check_{0};
   std::string logged_state_;
+  DecisionLimit replacement_log_{"record_replaced"};
 };
 
 }  // namespace ramppond
--- a/core/control/control_core.h
+++ b/core/control/control_core.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/consensus/raft.h"
@@ -72,6 +73,12 @@
   }
 };
 
+/// A restarted proxy has replaced the record of its former process.
+struct RecordReplacement {
+  InstanceRecord before;
+  InstanceRecord now;
+};
+
 struct ControlCounters {
   std::uint64_t polls = 0;
   std::uint64_t configuration_pushes = 0;
@@ -111,6 +118,8 @@
   [[nodiscard]] std::size_t heldPolls() const { return polls_.size() + proxy_polls_.size(); }
   /// Address to which Raft messages for a member are sent; empty if unknown.
   [[nodiscard]] std::string addressOf(NodeId id) const;
+  /// Returns the records that restarted proxies have replaced since the last call, for the log.
+  std::vector<RecordReplacement> takeReplacements() { return std::exchange(replacements_, {}); }
   /// Whether this member is the leader or has recently heard from one.
   [[nodiscard]] bool authoritative(TimePoint now) const;
 
@@ -146,6 +155,7 @@
   void onJoin(ControlToken token, const ControlRequest& request, TimePoint now);
   void changeMembersIfDue(TimePoint now);
   void onProxyPoll(ControlToken token, const ControlRequest& request, TimePoint now);
+  void storeRecord(const InstanceRecord& record);
   ProxyUpdate proxyUpdate(const ProxyPoll& poll, TimePoint now);
   void onQuotaReport(ControlToken token, const ControlRequest& request, TimePoint now);
   void updateQuotaLimits(TimePoint now);
@@ -204,6 +214,7 @@
   /// since the initial membership holds addresses only.
   std::map<std::string, std::string> member_zones_;
   InstanceRegistry instances_;
+  std::vector<RecordReplacement> replacements_;
   evidence_registry evidence_;
   /// Counter of `evidence_` up to which this leader has proposed its records.
   std::uint64_t proposed_evidence_counter_ = 0;
--- a/core/control/control_proxy_polls.cc
+++ b/core/control/control_proxy_polls.cc
@@ -20,6 +20,8 @@
 // This bounds the memory that a member needs per daemon to about 30 KB, however many servers there
 // are.
 constexpr std::size_t kMaximumRecordsPerAnswer = 256;
+// Maximum number of replaced records kept for the log. Bounds memory if nobody takes them.
+constexpr std::size_t kMaximumReplacements = 64;
 
 }  // namespace
 
@@ -31,7 +33,7 @@
   }
   counters_.polls += 1;
   if (poll->has_self) {
-    instances_.offer(poll->self);
+    storeRecord(poll->self);
   }
   for (const instance_evidence& evidence : poll->evidence) {
     evidence_.offer(evidence, now);
@@ -47,6 +49,15 @@
   proxy_polls_.emplace(token, std::move(held));
 }
 
+void ControlCore::storeRecord(const InstanceRecord& record) {
+  const InstanceRecord* known = instances_.find(record.proxy_address);
+  const bool restarted = known != nullptr && known->proxy_incarnation < record.proxy_incarnation;
+  if (restarted && replacements_.size() < kMaximumReplacements) {
+    replacements_.push_back({*known, record});
+  }
+  instances_.offer(record);
+}
+
 // While this member hears no leader, a poll of a daemon that has a configuration is answered at
 // once as not authoritative, so that the daemon polls another member. A daemon without a
 // configuration is held: when the whole system starts, every member is still electing.
--- a/core/control/control_session_pulls.cc
+++ b/core/control/control_session_pulls.cc
@@ -64,7 +64,7 @@
   recordMemberZone(address, *update);
   known = {update->registry_epoch, update->registry_counter, update->evidence_counter};
   for (const auto& record : update->instances) {
-    instances_.offer(record.value);
+    storeRecord(record.value);
   }
   for (const instance_evidence& evidence : update->evidence) {
     evidence_.offer(evidence, now);
--- a/core/distribution/instance_record.h
+++ b/core/distribution/instance_record.h
@@ -48,4 +48,19 @@
   }
 };
 
+/// Returns the name of a state as it stands in log lines.
+constexpr const char* nameOf(InstanceState state) {
+  switch (state) {
+    case InstanceState::kNone:
+      return "none";
+    case InstanceState::kReady:
+      return "ready";
+    case InstanceState::kDraining:
+      return "draining";
+    case InstanceState::kStopping:
+      return "stopping";
+  }
+  return "unknown";
+}
+
 }  // namespace ramppond
--- a/daemon/proxy/own_server.cc
+++ b/daemon/proxy/own_server.cc
@@ -27,7 +27,10 @@
 }
 
 void own_server::on_leave(const ServerLeave& leave) {
-  if (this->server.onLeave(leave, EventLoop::now())) {
+  const auto now = EventLoop::now();
+  if (this->server.onLeave(leave, now)) {
+    logEvent(now.count(), "server",
+             {{"instance", this->server.heartbeat().incarnation()}, {"state", "left"}});
     this->on_server_changed();
   }
 }
