A departure is acknowledged once the control group has stored it

Cause: only the memory of the proxy kept what it had acknowledged. The next process of the proxy could not learn it: its first poll carried a record without a server, with a higher process number, and replaced the former record at the coordinators before they answered. The late heartbeat was then the first one of an unknown incarnation.

Change: a proxy stores each departure (leave, draining heartbeat, answer that says that the server leaves) in the replicated log of the control group before it acknowledges it, and answers 503 if that takes 0.9 s; the server gets no new requests meanwhile. A new process reads the stored departures from the leader, by a linearizable read, before it processes a report, for 0.9 s at most. The promise is thus on the coordinators' disks before it is given, whichever processes end afterwards. A coordinator of an earlier version answers that it does not know the command; the departure is then acknowledged as before. No recorded message, file or line changed its form; new ones were added to the recordings.

Ruled out: keeping the former record beside the new one at the coordinators (in memory; lost with them, and two of three had not received it 25 ms after an acknowledgement); waiting for the answer to the poll only.

HeartbeatDoesNotRestoreServerThatSaidInAnAnswerThatItIsLeaving before 1 and 2, after 0. DepartureIsNotAcknowledgedBeforeTheControlGroupHasStoredIt before 200, after 503.

The test programs no longer inherit sockets of the test process: a proxy that was started later kept the listening socket of a server that had ended, so that the next server at its address got no connection.

--- a/core/control/control_core.cc
+++ b/core/control/control_core.cc
@@ -70,6 +70,7 @@
     case ControlRequestType::kListPlans:
     case ControlRequestType::kReadTraffic:
     case ControlRequestType::kReadIndex:
+    case ControlRequestType::kReadDepartures:
       requestRead(token, request);
       return;
     case ControlRequestType::kJoin:
@@ -176,6 +177,10 @@
     answer(token, std::move(reply));
     return;
   }
+  if (request.type == ControlRequestType::kReadDepartures) {
+    answerDepartures(token, request);
+    return;
+  }
   if (request.type == ControlRequestType::kReadTraffic) {
     reply.traffic_document = state_.traffic().document();
     answer(token, std::move(reply));
@@ -189,6 +194,19 @@
   answer(token, std::move(reply));
 }
 
+void ControlCore::answerDepartures(ControlToken token, const ControlRequest& request) {
+  const auto query = decode<departure_query>(request.proxy_poll);
+  if (!query) {
+    answerError(token, ErrorKind::kMalformedRequest, "not a query of departures");
+    return;
+  }
+  ControlReply reply;
+  reply.authoritative = true;
+  reply.quorum_confirmed = true;
+  reply.proxy_update = encode(state_.departures().departures_of(query->proxy_address));
+  answer(token, std::move(reply));
+}
+
 void ControlCore::onRequesterGone(ControlToken token) {
   polls_.erase(token);
   proxy_polls_.erase(token);
@@ -326,7 +344,7 @@
 }
 
 void ControlCore::installSnapshot(const Snapshot& snapshot) {
-  const auto decoded = decode<ControlSnapshot>(snapshot.state);
+  const auto decoded = decode<StoredControlState>(snapshot.state);
   if (decoded) {
     state_.restore(*decoded);
     traffic_history_.on_in_force(state_.traffic().logIndex(), state_.traffic().configuration());
--- a/core/control/control_core.h
+++ b/core/control/control_core.h
@@ -175,6 +175,7 @@
   void onSessions(ControlToken token, const ControlRequest& request, TimePoint now);
   void requestRead(ControlToken token, const ControlRequest& request);
   void answerRead(std::uint64_t read_id, bool ready);
+  void answerDepartures(ControlToken token, const ControlRequest& request);
   std::optional<Snapshot> snapshotIfDue();
   bool hasUpdates(const HeldPoll& poll, ControlReply& reply);
   void answerHeldPolls(TimePoint now);
--- a/core/control/control_messages.h
+++ b/core/control/control_messages.h
@@ -28,6 +28,8 @@
   kProxyPoll = 12,    ///< A daemon of the forwarding path requests updates.
   kReadIndex = 13,    ///< A member requests the leader's commit index, confirmed by a quorum.
   kQuotaReport = 14,  ///< A daemon of the forwarding path reports tenants' requests to the leader.
+  /// A daemon of the forwarding path reads the departures of its servers; linearizable.
+  kReadDepartures = 15,
 };
 
 /// A service whose servers a daemon subscribes to, and the digest of the list that it has.
@@ -87,8 +89,9 @@
   Command command;
   Member member;  ///< kAddMember, kJoin; kRemoveMember uses only its name.
   std::uint64_t sessions_since = 0;
-  NodeId sender = 0;         ///< Set in requests between control members.
-  std::string proxy_poll;    ///< kProxyPoll, kSessions: an encoded ProxyPoll.
+  NodeId sender = 0;  ///< Set in requests between control members.
+  /// kProxyPoll, kSessions: an encoded ProxyPoll; kReadDepartures: an encoded departure_query.
+  std::string proxy_poll;
   std::string quota_report;  ///< kQuotaReport: an encoded quota_report.
 
   template <class Visitor>
@@ -195,7 +198,8 @@
   ControlStatus status;
   std::vector<DaemonSession> sessions;
   std::uint64_t sessions_counter = 0;
-  std::string proxy_update;      ///< kProxyPoll, kSessions: an encoded ProxyUpdate.
+  /// kProxyPoll, kSessions: an encoded ProxyUpdate; kReadDepartures: an encoded departure_batch.
+  std::string proxy_update;
   std::string traffic_document;  ///< kReadTraffic: the operator's text; empty if there is none.
   LogIndex read_index = 0;       ///< kReadIndex.
   std::string quota_answer;      ///< kQuotaReport: an encoded quota_answer.
--- a/core/control/control_proxy_polls.cc
+++ b/core/control/control_proxy_polls.cc
@@ -153,7 +153,7 @@
   Command command;
   command.type = CommandType::kRecordEvidence;
   command.leader_clock_ms = wall_clock_ms_;
-  command.evidence = encode(batch);
+  command.records = encode(batch);
   raft_.propose(encode(command));
 }
 
--- a/core/control/control_state.cc
+++ b/core/control/control_state.cc
@@ -64,6 +64,8 @@
       return replaceTraffic(command, version);
     case CommandType::kRecordEvidence:
       return recordEvidence(command);
+    case CommandType::kRecordDepartures:
+      return recordDepartures(command);
   }
   return failure(ErrorKind::kMalformedRequest, "unknown type of command");
 }
@@ -169,7 +171,7 @@
 }
 
 CommandResult ControlState::recordEvidence(const Command& command) {
-  const auto batch = decode<evidence_batch>(command.evidence);
+  const auto batch = decode<evidence_batch>(command.records);
   if (!batch) {
     return failure(ErrorKind::kMalformedRequest, "not a batch of evidence");
   }
@@ -177,6 +179,15 @@
   return {};
 }
 
+CommandResult ControlState::recordDepartures(const Command& command) {
+  const auto batch = decode<departure_batch>(command.records);
+  if (!batch) {
+    return failure(ErrorKind::kMalformedRequest, "not a batch of departures");
+  }
+  departures_.apply(*batch, command.leader_clock_ms);
+  return {};
+}
+
 ClaimReply ControlState::claim(const ClaimCommand& command, std::int64_t now_ms) {
   ClaimReply reply;
   if (abandoned_.count(command.holder) != 0) {
@@ -263,8 +274,8 @@
   return found == plans_.end() ? nullptr : &*found;
 }
 
-ControlSnapshot ControlState::snapshot() const {
-  ControlSnapshot snapshot;
+StoredControlState ControlState::snapshot() const {
+  StoredControlState snapshot;
   snapshot.configuration = configuration_;
   snapshot.next_plan_id = next_plan_id_;
   snapshot.plans.assign(plans_.begin(), plans_.end());
@@ -279,13 +290,14 @@
   }
   snapshot.abandoned.assign(abandoned_order_.begin(), abandoned_order_.end());
   snapshot.evidence = evidence_.snapshot();
+  snapshot.departures = departures_.snapshot();
   if (traffic_.logIndex() != 0) {
     snapshot.traffic = encode(traffic_.snapshot());
   }
   return snapshot;
 }
 
-void ControlState::restore(const ControlSnapshot& snapshot) {
+void ControlState::restore(const StoredControlState& snapshot) {
   *this = ControlState(snapshot.configuration.group_id);
   configuration_ = snapshot.configuration;
   next_plan_id_ = snapshot.next_plan_id;
@@ -301,6 +313,7 @@
     markAbandoned(holder);
   }
   evidence_.restore(snapshot.evidence);
+  departures_.restore(snapshot.departures);
   const auto traffic = decode<TrafficSnapshot>(snapshot.traffic);
   if (traffic) {
     traffic_.restore(*traffic);
--- a/core/control/control_state.h
+++ b/core/control/control_state.h
@@ -14,6 +14,7 @@
 #include "core/call_model/call.h"
 #include "core/call_model/configuration.h"
 #include "core/call_model/planning.h"
+#include "core/control/departure_log.h"
 #include "core/crash_evidence/evidence_log.h"
 #include "core/errors.h"
 #include "core/traffic/traffic_state.h"
@@ -29,6 +30,7 @@
   kReleaseClaim = 5,
   kReplaceTraffic = 6,
   kRecordEvidence = 7,
+  kRecordDepartures = 8,
 };
 
 /// One claim, completion or release in a command.
@@ -60,7 +62,8 @@
   std::uint64_t plan_id = 0;
   std::vector<ClaimCommand> claims;  ///< The batch of kClaim, kCompleteClaim or kReleaseClaim.
   std::string traffic;               ///< kReplaceTraffic: an encoded TrafficReplacement.
-  std::string evidence;              ///< kRecordEvidence: an encoded evidence_batch.
+  /// kRecordEvidence: an encoded evidence_batch; kRecordDepartures: an encoded departure_batch.
+  std::string records;
 
   template <class Visitor>
   void visitFields(Visitor& visitor) {
@@ -72,7 +75,7 @@
     visitor(6, plan_id);
     visitor(7, claims);
     visitor(8, traffic);
-    visitor(9, evidence);
+    visitor(9, records);
   }
 };
 
@@ -168,7 +171,7 @@
   }
 };
 
-/// The complete state of the state machine, as stored in a snapshot.
+/// The state of the state machine, as stored in a snapshot; see StoredControlState.
 struct ControlSnapshot {
   Configuration configuration;
   std::uint64_t next_plan_id = 1;
@@ -192,6 +195,18 @@
   }
 };
 
+/// The stored form of the state machine: a snapshot with the departures of servers. Earlier
+/// versions read the snapshot and ignore the departures.
+struct StoredControlState : ControlSnapshot {
+  std::vector<dated_departure> departures;
+
+  template <class Visitor>
+  void visitFields(Visitor& visitor) {
+    ControlSnapshot::visitFields(visitor);
+    visitor(9, departures);
+  }
+};
+
 /// A key is retained this long after its claim; a later repeat of the call runs again.
 constexpr std::int64_t kClaimRetentionMs = 24LL * 3600 * 1000;
 /// The outcome of a claim that is still held after this time counts as unknown. Longer than the
@@ -217,13 +232,14 @@
   [[nodiscard]] const Configuration& configuration() const { return configuration_; }
   [[nodiscard]] const TrafficState& traffic() const { return traffic_; }
   [[nodiscard]] const evidence_log& evidence() const { return evidence_; }
+  [[nodiscard]] const departure_log& departures() const { return departures_; }
   [[nodiscard]] const Plan* findPlan(std::uint64_t id) const;
   [[nodiscard]] const std::deque<Plan>& plans() const { return plans_; }
   [[nodiscard]] std::size_t claimCount() const { return claims_.size(); }
   void setGroupId(std::uint64_t group_id) { configuration_.group_id = group_id; }
 
-  [[nodiscard]] ControlSnapshot snapshot() const;
-  void restore(const ControlSnapshot& snapshot);
+  [[nodiscard]] StoredControlState snapshot() const;
+  void restore(const StoredControlState& snapshot);
 
  private:
   CommandResult applyOnce(const Command& command, ConfigurationVersion version);
@@ -231,6 +247,7 @@
   CommandResult confirm(const Command& command, ConfigurationVersion version);
   CommandResult reject(const Command& command);
   CommandResult recordEvidence(const Command& command);
+  CommandResult recordDepartures(const Command& command);
   CommandResult replaceTraffic(const Command& command, ConfigurationVersion version);
   ClaimReply claim(const ClaimCommand& command, std::int64_t now_ms);
   void completeClaim(const ClaimCommand& command);
@@ -243,6 +260,7 @@
   Configuration configuration_;
   TrafficState traffic_;
   evidence_log evidence_;
+  departure_log departures_;
   std::uint64_t next_plan_id_ = 1;
   std::deque<Plan> plans_;
   std::map<std::string, Claim> claims_;
--- a/core/lifecycle/local_server.cc
+++ b/core/lifecycle/local_server.cc
@@ -36,7 +36,11 @@
     return false;
   }
   sender.sequence = heartbeat.sequence;
-  sender.draining = heartbeat.draining;
+  const bool was_draining = std::exchange(sender.draining, heartbeat.draining);
+  if (heartbeat.draining && !was_draining) {
+    announceDeparture(incarnation, heartbeat.sequence);
+  }
+  sender.acknowledged_before = sender.acknowledged_before && heartbeat.draining;
   if (known_ && !isCurrent(incarnation)) {
     const bool heard_again = std::exchange(challenger_, incarnation) == incarnation;
     if (!mayReplaceCurrent(heartbeat, first, heard_again, now)) {
@@ -47,16 +51,16 @@
 }
 
 bool LocalServer::acceptAsCurrent(const ServerHeartbeat& heartbeat, TimePoint now) {
+  const Incarnation& sender = incarnations_[heartbeat.incarnation()];
   const bool same = isCurrent(heartbeat.incarnation());
-  const bool was_draining = draining_since_.has_value();
-  const bool draining =
-      heartbeat.draining || incarnations_[heartbeat.incarnation()].reported_leaving;
+  const bool was_draining = admitted_until_.has_value();
+  const bool draining = heartbeat.draining || sender.reported_leaving;
   const bool changed = !same || was_draining != draining || current_.slots != heartbeat.slots ||
                        current_.service != heartbeat.service;
   if (!draining) {
-    draining_since_.reset();
+    admitted_until_.reset();
   } else if (!same || !was_draining) {
-    draining_since_ = now;
+    admitted_until_ = endOfAdmission(sender, now);
   }
   challenger_.clear();
   known_ = true;
@@ -86,23 +90,60 @@
   if (incarnations_.count(leaving) == 0) {
     evictIncarnation();
   }
-  incarnations_[leaving].left = true;
-  if (current != leaving || draining_since_) {
+  Incarnation& left = incarnations_[leaving];
+  if (!std::exchange(left.left, true)) {
+    announceDeparture(leaving, any_sequence);
+  }
+  if (current != leaving || admitted_until_) {
     return false;
   }
-  draining_since_ = now;
+  admitted_until_ = endOfAdmission(left, now);
   return true;
 }
 
+void LocalServer::announceDeparture(const std::string& incarnation, std::uint64_t last_sequence) {
+  departures_.push_back({std::string(), incarnation, last_sequence});
+}
+
+TimePoint LocalServer::endOfAdmission(const Incarnation& leaving, TimePoint now) const {
+  return leaving.acknowledged_before ? now : now + draining_admission_;
+}
+
+bool LocalServer::restore(const departure_batch& acknowledged, TimePoint now) {
+  bool changed = false;
+  for (const server_departure& departure : acknowledged.departures) {
+    const bool known = incarnations_.count(departure.server_incarnation) != 0;
+    if (!known) {
+      evictIncarnation();
+    }
+    Incarnation& leaving = incarnations_[departure.server_incarnation];
+    if (known && leaving.sequence > departure.last_sequence) {
+      continue;  // A later heartbeat has reverted or repeated the announcement.
+    }
+    leaving.sequence = departure.last_sequence;
+    leaving.left = leaving.left || departure.last_sequence == any_sequence;
+    leaving.draining = true;
+    leaving.acknowledged_before = true;
+    if (isCurrent(departure.server_incarnation)) {
+      changed = changed || !admitted_until_;
+      admitted_until_ = now;
+    }
+  }
+  return changed;
+}
+
 bool LocalServer::onLeavingAnswer(const std::string& incarnation, TimePoint now) {
   if (!isCurrent(incarnation)) {
     return false;
   }
-  incarnations_[incarnation].reported_leaving = true;
-  if (draining_since_) {
+  Incarnation& leaving = incarnations_[incarnation];
+  if (!std::exchange(leaving.reported_leaving, true)) {
+    announceDeparture(incarnation, any_sequence);
+  }
+  if (admitted_until_) {
     return false;
   }
-  draining_since_ = now;
+  admitted_until_ = endOfAdmission(leaving, now);
   return true;
 }
 
@@ -132,7 +173,7 @@
   if (current_.incarnation() != incarnation || current_.service != service) {
     return FenceVerdict::kOtherInstance;
   }
-  if (draining_since_ && now - *draining_since_ > draining_admission_) {
+  if (admitted_until_ && now > *admitted_until_) {
     return FenceVerdict::kDraining;
   }
   return FenceVerdict::kAdmit;
@@ -147,7 +188,7 @@
   record.service = current_.service;
   record.slots = current_.slots;
   record.cold_left = current_.cold_left;
-  record.state = draining_since_ ? InstanceState::kDraining : InstanceState::kReady;
+  record.state = admitted_until_ ? InstanceState::kDraining : InstanceState::kReady;
   return record;
 }
 
--- a/core/lifecycle/local_server.h
+++ b/core/lifecycle/local_server.h
@@ -3,8 +3,9 @@
 // Input: the server's heartbeats and leave messages, answers that report that it is leaving,
 // refused connections, and the incarnation that a request is addressed to (times in microseconds).
 // Output: the server's current incarnation and state, the record that the proxy publishes, and for
-// each request whether it is admitted or the reason why not. Owns the current incarnation and the
-// reports of former ones. No I/O; not thread safe.
+// each request whether it is admitted or the reason why not; also the departures that must be
+// stored before a report is acknowledged (core/lifecycle/departure_recorder.h). Owns the current
+// incarnation and the reports of former ones. No I/O; not thread safe.
 //
 // Only the proxy beside a server can reach it, so this class is the authority on the server: a
 // request addressed to another incarnation, or to one that is leaving, is refused as not run, even
@@ -16,8 +17,11 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "core/distribution/instance_registry.h"
+#include "core/distribution/server_departure.h"
 #include "core/time.h"
 
 namespace ramppond {
@@ -73,6 +77,13 @@
   /// Records that an answer of `incarnation` reported that it is leaving. Later heartbeats do not
   /// revert this. Returns whether the record has changed.
   bool onLeavingAnswer(const std::string& incarnation, TimePoint now);
+  /// Applies the departures that a former process of this proxy has acknowledged: heartbeats that
+  /// are older than them are ignored, and requests are no longer admitted. Returns whether the
+  /// record has changed.
+  bool restore(const departure_batch& acknowledged, TimePoint now);
+  /// Returns the departures that reports or answers have announced since the last call. Their
+  /// proxy_address is empty.
+  std::vector<server_departure> takeDepartures() { return std::exchange(departures_, {}); }
   /// Records that the server answered that it is not `incarnation`. If that was the current one, no
   /// server is known until the next heartbeat, and true is returned.
   bool onWrongInstance(const std::string& incarnation);
@@ -100,6 +111,8 @@
     bool left = false;
     bool draining = false;
     bool reported_leaving = false;  ///< Reported in an answer.
+    /// A former process acknowledged that it is draining: other proxies have known for long.
+    bool acknowledged_before = false;
   };
   [[nodiscard]] bool isCurrent(const std::string& incarnation) const;
   /// Removes one incarnation other than the current one if too many are kept.
@@ -108,12 +121,17 @@
   /// first heartbeat. `heard_again`: the previous heartbeat was from the sender too.
   [[nodiscard]] bool mayReplaceCurrent(const ServerHeartbeat& heartbeat, bool first,
                                        bool heard_again, TimePoint now) const;
+  void announceDeparture(const std::string& incarnation, std::uint64_t last_sequence);
+  /// Returns until when requests to a leaving incarnation are admitted.
+  [[nodiscard]] TimePoint endOfAdmission(const Incarnation& leaving, TimePoint now) const;
   /// Makes the sender the current incarnation. Returns whether the record has changed.
   bool acceptAsCurrent(const ServerHeartbeat& heartbeat, TimePoint now);
 
   Duration draining_admission_;
   bool known_ = false;
-  std::optional<TimePoint> draining_since_;  ///< Of the current incarnation, by any report.
+  /// Set while the current incarnation is leaving, by any report.
+  std::optional<TimePoint> admitted_until_;
+  std::vector<server_departure> departures_;  ///< To be stored.
   ServerHeartbeat current_;
   TimePoint last_heartbeat_{0};                      ///< Of the current incarnation.
   std::map<std::string, Incarnation> incarnations_;  ///< By name, including the current one.
--- a/daemon/proxy/own_server.cc
+++ b/daemon/proxy/own_server.cc
@@ -14,7 +14,9 @@
 void own_server::on_heartbeat(const ServerHeartbeat& heartbeat) {
   const auto now = EventLoop::now();
   const auto before = this->server.heartbeat().incarnation();
-  if (!this->server.onHeartbeat(heartbeat, now)) {
+  const auto changed = this->server.onHeartbeat(heartbeat, now);
+  this->report_departures();
+  if (!changed) {
     return;
   }
   if (before != heartbeat.incarnation()) {
@@ -28,7 +30,9 @@
 
 void own_server::on_leave(const ServerLeave& leave) {
   const auto now = EventLoop::now();
-  if (this->server.onLeave(leave, now)) {
+  const auto changed = this->server.onLeave(leave, now);
+  this->report_departures();
+  if (changed) {
     logEvent(now.count(), "server",
              {{"instance", this->server.heartbeat().incarnation()}, {"state", "left"}});
     this->on_server_changed();
@@ -37,12 +41,26 @@
 
 void own_server::on_leaving_answer(const std::string& incarnation) {
   const auto now = EventLoop::now();
-  if (this->server.onLeavingAnswer(incarnation, now)) {
+  const auto changed = this->server.onLeavingAnswer(incarnation, now);
+  this->report_departures();
+  if (changed) {
     logEvent(now.count(), "server", {{"instance", incarnation}, {"state", "draining"}});
     this->on_server_changed();
   }
 }
 
+void own_server::report_departures() {
+  for (const auto& departure : this->server.takeDepartures()) {
+    this->on_departure(departure);
+  }
+}
+
+void own_server::restore(const departure_batch& acknowledged) {
+  if (this->server.restore(acknowledged, EventLoop::now())) {
+    this->on_server_changed();
+  }
+}
+
 void own_server::on_announced_limit(const std::string& incarnation, const named_limit& answered,
                                     TimePoint begun) {
   if (incarnation != this->tracked_incarnation) {
--- a/daemon/proxy/own_server.h
+++ b/daemon/proxy/own_server.h
@@ -46,8 +46,13 @@
   /// another incarnation runs there.
   std::function<void(const std::string& incarnation)> on_gone;
 
+  /// Called with each departure that a report or an answer of the server has announced.
+  std::function<void(const server_departure& departure)> on_departure;
+
   void on_heartbeat(const ServerHeartbeat& heartbeat);
   void on_leave(const ServerLeave& leave);
+  /// Applies the departures that a former process of this proxy has acknowledged.
+  void restore(const departure_batch& acknowledged);
   /// An answer of `incarnation` to a request dispatched at `begun` announced a rate limit.
   void on_announced_limit(const std::string& incarnation, const named_limit& answered,
                           TimePoint begun);
@@ -109,6 +114,7 @@
   [[nodiscard]] auto admission() -> ServerAdmission& { return this->admission_control; }
 
  private:
+  void report_departures();
   void on_server_changed();
   void apply_rate(const std::optional<request_rate>& before);
   void log_unreadable(const std::string& incarnation, const named_limit& answered);
--- a/daemon/proxy/proxy_process.cc
+++ b/daemon/proxy/proxy_process.cc
@@ -67,7 +67,8 @@
       context_(loop_, api, bounds, settings, randomNumber64()),
       session_(sessionOptions(settings, bounds)),
       channels_(loop_),
-      server_reports_(api, context_.own, settings.service),
+      departures_(loop_, session_, channels_, context_.own, settings.peer_address.toString()),
+      server_reports_(api, context_.own, departures_, settings.service),
       tenant_reports_(loop_, session_, channels_, context_.quotas, context_.directory,
                       settings.peer_address.toString()),
       clients_(loop_, settings.client_address, HttpServerOptions{},
@@ -95,6 +96,9 @@
       second_timer_(loop_),
       liveness_timer_(loop_) {
   context_.own.on_changed = [this] { publishOwnRecord(); };
+  context_.own.on_departure = [this](const server_departure& departure) {
+    departures_.announce(departure);
+  };
   context_.on_tenant_surge = [this] { tenant_reports_.report_soon(); };
   stop_.on_begun = [this] {
     context_.returns.stop();
@@ -167,6 +171,7 @@
                      {{"before", before}, {"now", session_.upstream()}});
           }
           applySessionUpdates();
+          departures_.check();
           poll();
         });
   }
--- a/daemon/proxy/proxy_process.h
+++ b/daemon/proxy/proxy_process.h
@@ -14,6 +14,7 @@
 #include "core/session/proxy_session.h"
 #include "daemon/proxy/proxy_context.h"
 #include "daemon/proxy/proxy_stop.h"
+#include "daemon/proxy/server_departures.h"
 #include "daemon/proxy/server_reports.h"
 #include "daemon/proxy/tenant_reports.h"
 #include "net/stream/control_channels.h"
@@ -55,6 +56,7 @@
   ProxyContext context_;
   ProxySession session_;
   ControlChannels channels_;
+  server_departures departures_;
   server_reports server_reports_;
   tenant_reports tenant_reports_;
   StreamHttpServer clients_;
--- a/tests/compatibility/stored_data_test.cc
+++ b/tests/compatibility/stored_data_test.cc
@@ -92,7 +92,7 @@
   ASSERT_FALSE(found.entries.empty());
   ControlState state;
   if (!found.snapshot.state.empty()) {
-    const auto snapshot = decode<ControlSnapshot>(found.snapshot.state);
+    const auto snapshot = decode<StoredControlState>(found.snapshot.state);
     ASSERT_TRUE(snapshot.has_value());
     state.restore(*snapshot);
   }
--- a/tests/compatibility/wire_test.cc
+++ b/tests/compatibility/wire_test.cc
@@ -11,6 +11,7 @@
 #include "core/crash_evidence/evidence_log.h"
 #include "core/distribution/instance_record.h"
 #include "core/distribution/proxy_messages.h"
+#include "core/distribution/server_departure.h"
 #include "core/distribution/traffic_difference.h"
 #include "core/tenants/quota_messages.h"
 #include "core/traffic/traffic_configuration.h"
@@ -67,6 +68,9 @@
   table.add<TrafficSnapshot>("traffic_snapshot");
   table.add<Command>("command");
   table.add<ControlSnapshot>("control_snapshot");
+  table.add<StoredControlState>("stored_control_state");
+  table.add<departure_batch>("departure_batch");
+  table.add<departure_query>("departure_query");
   table.add<Configuration>("configuration");
   table.add<evidence_batch>("evidence_batch");
   table.add<quota_report>("quota_report");
--- a/tests/core/control/control_state_test.cc
+++ b/tests/core/control/control_state_test.cc
@@ -177,7 +177,7 @@
     ControlState restored(kGroup);
     for (std::size_t step = 0; step < steps; ++step) {
       if (step == cut) {
-        const auto decoded = decode<ControlSnapshot>(encode(original.snapshot()));
+        const auto decoded = decode<StoredControlState>(encode(original.snapshot()));
         RC_ASSERT(decoded.has_value());
         restored.restore(*decoded);
       }
--- a/tests/core/crash_evidence/evidence_log_test.cc
+++ b/tests/core/crash_evidence/evidence_log_test.cc
@@ -56,15 +56,15 @@
   auto command = Command();
   command.type = CommandType::kRecordEvidence;
   command.leader_clock_ms = clock_ms;
-  command.evidence = encode(evidence_batch{{record("a", 1, true)}});
+  command.records = encode(evidence_batch{{record("a", 1, true)}});
   auto state = ControlState(1);
   EXPECT_EQ(state.apply(command, {1, 1}).error, ErrorKind::kNone);
-  const auto snapshot = decode<ControlSnapshot>(encode(state.snapshot()));
+  const auto snapshot = decode<StoredControlState>(encode(state.snapshot()));
   ASSERT_TRUE(snapshot);
   auto restored = ControlState();
   restored.restore(*snapshot);
   ASSERT_EQ(restored.evidence().records_at(clock_ms).size(), 1U);
-  command.evidence = "no batch";
+  command.records = "no batch";
   EXPECT_EQ(state.apply(command, {1, 2}).error, ErrorKind::kMalformedRequest);
 }
 
--- a/tests/core/lifecycle/local_server_test.cc
+++ b/tests/core/lifecycle/local_server_test.cc
@@ -172,5 +172,96 @@
   EXPECT_EQ(server.admit("b", "desk", seconds(4)), FenceVerdict::kAdmit);
 }
 
+std::vector<std::uint64_t> sequencesOf(const std::vector<server_departure>& departures) {
+  std::vector<std::uint64_t> sequences;
+  for (const server_departure& departure : departures) {
+    sequences.push_back(departure.last_sequence);
+  }
+  return sequences;
+}
+
+// Guards against an acknowledged announcement that nothing keeps: each must be reported once.
+TEST(LocalServer, EachAnnouncementOfALeaveIsReportedOnce) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(heartbeat("a", 1), TimePoint(0));
+  EXPECT_TRUE(server.takeDepartures().empty());
+  server.onHeartbeat(heartbeat("a", 2, true), seconds(1));
+  server.onHeartbeat(heartbeat("a", 3, true), seconds(2));
+  EXPECT_EQ(sequencesOf(server.takeDepartures()), (std::vector<std::uint64_t>{2}));
+  server.onLeave({"a", std::nullopt}, seconds(3));
+  server.onLeave({"a", std::nullopt}, seconds(4));
+  EXPECT_EQ(sequencesOf(server.takeDepartures()), (std::vector<std::uint64_t>{any_sequence}));
+  server.onHeartbeat(heartbeat("b", 1), seconds(5));
+  server.onLeavingAnswer("b", seconds(6));
+  server.onLeavingAnswer("b", seconds(7));
+  EXPECT_EQ(sequencesOf(server.takeDepartures()), (std::vector<std::uint64_t>{any_sequence}));
+  server.onLeave({"unknown", std::nullopt}, seconds(8));
+  EXPECT_EQ(server.takeDepartures().size(), 1U);
+}
+
+struct RestoreCase {
+  const char* name;
+  std::uint64_t last_sequence;  ///< Of the departure that a former process acknowledged.
+  std::uint64_t sequence;       ///< Of the heartbeat that follows.
+  bool draining;
+  InstanceState state;
+  FenceVerdict verdict;
+};
+
+void PrintTo(const RestoreCase& restored, std::ostream* out) {
+  *out << restored.name;
+}
+
+const RestoreCase kRestoreCases[] = {
+    {"LateHeartbeatAfterLeave", any_sequence, 7, false, InstanceState::kNone,
+     FenceVerdict::kNoServer},
+    {"DrainingHeartbeatAfterLeave", any_sequence, 7, true, InstanceState::kNone,
+     FenceVerdict::kNoServer},
+    {"LateHeartbeatAfterDraining", 8, 7, false, InstanceState::kNone, FenceVerdict::kNoServer},
+    {"SameHeartbeatAfterDraining", 8, 8, true, InstanceState::kNone, FenceVerdict::kNoServer},
+    {"NextHeartbeatOfDrainingServer", 8, 9, true, InstanceState::kDraining,
+     FenceVerdict::kDraining},
+    {"ServerIsReadyAgain", 8, 9, false, InstanceState::kReady, FenceVerdict::kAdmit},
+};
+
+class LocalServerRestoreTest : public testing::TestWithParam<RestoreCase> {};
+
+// Guards against a restarted proxy that takes a server for a ready one after its former process
+// acknowledged that it leaves.
+TEST_P(LocalServerRestoreTest, HeartbeatAfterRestartDoesNotRevertAcknowledgedDeparture) {
+  LocalServer server(kDrainingAdmission);
+  EXPECT_FALSE(server.restore({{{"proxy", "a", GetParam().last_sequence}}}, TimePoint(0)));
+  server.onHeartbeat(heartbeat("a", GetParam().sequence, GetParam().draining), seconds(1));
+  EXPECT_EQ(server.record().state, GetParam().state);
+  EXPECT_EQ(server.admit("a", "desk", seconds(1) + Duration(1)), GetParam().verdict);
+  EXPECT_TRUE(server.takeDepartures().empty());
+}
+
+// Guards against the same if the departure is only learned after the heartbeat was taken.
+TEST_P(LocalServerRestoreTest, DepartureLearnedAfterHeartbeatIsApplied) {
+  LocalServer server(kDrainingAdmission);
+  server.onHeartbeat(heartbeat("a", GetParam().sequence, GetParam().draining), seconds(1));
+  const bool reverted = GetParam().sequence > GetParam().last_sequence;
+  const bool changes = !reverted && !GetParam().draining;
+  EXPECT_EQ(server.restore({{{"proxy", "a", GetParam().last_sequence}}}, seconds(2)), changes);
+  const bool ready = reverted && !GetParam().draining;
+  EXPECT_EQ(server.record().state, ready ? InstanceState::kReady : InstanceState::kDraining);
+  if (!reverted) {
+    EXPECT_EQ(server.admit("a", "desk", seconds(2) + Duration(1)), FenceVerdict::kDraining);
+    EXPECT_TRUE(server.announcedLeave("a"));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Heartbeats, LocalServerRestoreTest, testing::ValuesIn(kRestoreCases),
+                         [](const auto& test) { return std::string(test.param.name); });
+
+TEST(LocalServer, NextServerIsTakenAtOnceAfterRestoredDeparture) {
+  LocalServer server(kDrainingAdmission);
+  server.restore({{{"proxy", "a", any_sequence}}}, TimePoint(0));
+  EXPECT_TRUE(server.onHeartbeat(heartbeat("b", 1), Duration(1)));
+  EXPECT_EQ(server.record().state, InstanceState::kReady);
+  EXPECT_EQ(server.admit("b", "desk", Duration(1)), FenceVerdict::kAdmit);
+}
+
 }  // namespace
 }  // namespace ramppond
--- a/tests/daemon/proxy/own_server_test.cc
+++ b/tests/daemon/proxy/own_server_test.cc
@@ -24,6 +24,9 @@
  protected:
   own_server_test() : server(this->loop, {}, seconds(1)) {
     this->server.on_changed = [this] { this->notifications.emplace_back("changed"); };
+    this->server.on_departure = [this](const server_departure& departure) {
+      this->notifications.push_back("departure " + departure.server_incarnation);
+    };
     this->server.on_gone = [this](const std::string& incarnation) {
       this->notifications.push_back("gone " + incarnation);
     };
--- a/tests/platform/fake_platform.cc
+++ b/tests/platform/fake_platform.cc
@@ -119,6 +119,8 @@
   const int file = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   ::dup2(file, STDOUT_FILENO);
   ::dup2(file, STDERR_FILENO);
+  // Otherwise a program that starts later keeps the listening sockets of servers that have ended.
+  ::close_range(STDERR_FILENO + 1, ~0U, 0);
   ::execl(program.c_str(), program.c_str(), "--config", settings.c_str(), nullptr);
   ::_exit(127);
 }
@@ -203,20 +205,8 @@
 }
 
 void AppServer::beat(const std::string& state) {
-  sequence_ += 1;
-  Request request;
-  request.method = "POST";
-  request.target = "/api/instances/" + instance_ + "/heartbeat";
-  request.body = R"({"address":")" + Endpoint{host_, ports_.server}.toString() +
-                 R"(","info":{"service":")" + service_ +
-                 R"(","version":"v1","zone":"z","slots":8},"status":{"state":")" + state +
-                 R"(","seq":)" + std::to_string(sequence_) + R"(,"cold_left_s":0}})";
-  const auto handler = std::make_shared<AnswerCollector>([this](const Answer& answer) {
-    heartbeats_acknowledged += answer.complete && answer.status == 200 ? 1 : 0;
-  });
-  handlers_.push_back(handler);
-  exchanges_.push_back(
-      reports_->start(makeHead(request), BodyFraming::kLength, request.body, true, handler));
+  sendHeartbeat(state, takeSequence(),
+                [this](int status) { heartbeats_acknowledged += status == 200 ? 1 : 0; });
   heartbeat_timer_.after(kHeartbeatInterval, [this, state] {
     if (heartbeats_enabled_) {
       beat(state);
@@ -224,6 +214,32 @@
   });
 }
 
+void AppServer::sendHeartbeat(const std::string& state, std::uint64_t sequence,
+                              std::function<void(int status)> done) {
+  const std::string body = R"({"address":")" + Endpoint{host_, ports_.server}.toString() +
+                           R"(","info":{"service":")" + service_ +
+                           R"(","version":"v1","zone":"z","slots":8},"status":{"state":")" + state +
+                           R"(","seq":)" + std::to_string(sequence) + R"(,"cold_left_s":0}})";
+  report("/heartbeat", body, std::move(done));
+}
+
+void AppServer::leave(std::function<void(int status)> done) {
+  report("/leave", "{}", std::move(done));
+}
+
+void AppServer::report(const std::string& path, const std::string& body,
+                       std::function<void(int status)> done) {
+  Request request;
+  request.method = "POST";
+  request.target = "/api/instances/" + instance_ + path;
+  request.body = body;
+  const auto handler = std::make_shared<AnswerCollector>(
+      [done](const Answer& answer) { done(answer.complete ? answer.status : 0); });
+  handlers_.push_back(handler);
+  exchanges_.push_back(
+      reports_->start(makeHead(request), BodyFraming::kLength, request.body, true, handler));
+}
+
 void AppServer::serveHealth(const std::shared_ptr<ServerExchange>& exchange) {
   health_queries.push_back(EventLoop::now());
   if (!answers_health) {
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -90,6 +90,13 @@
   /// Sends a heartbeat with `state` now and at every interval.
   void beat(const std::string& state);
   void stopHeartbeats() { heartbeats_enabled_ = false; }
+  /// Takes the sequence of a heartbeat that is sent later with sendHeartbeat().
+  std::uint64_t takeSequence() { return ++sequence_; }
+  /// Sends a single heartbeat. `done` is called with the status of the answer; 0 for none.
+  void sendHeartbeat(const std::string& state, std::uint64_t sequence,
+                     std::function<void(int status)> done);
+  /// Sends the message that this server is about to end; `done` is called as by sendHeartbeat().
+  void leave(std::function<void(int status)> done);
   /// Simulates a crash: closes all connections, and starts again as a new instance after
   /// `time_to_restart`.
   void crash();
@@ -118,6 +125,8 @@
 
  private:
   void serve(const std::shared_ptr<ServerExchange>& exchange);
+  void report(const std::string& path, const std::string& body,
+              std::function<void(int status)> done);
   void answerEarly(const std::shared_ptr<ServerExchange>& exchange);
   void finishWork(const std::shared_ptr<ServerExchange>& exchange, const std::string& body);
   void answer(const std::shared_ptr<ServerExchange>& exchange, const std::string& body);
