--- a/core/lifecycle/departure_recorder.cc
+++ b/core/lifecycle/departure_recorder.cc
@@ -24,7 +24,7 @@
   return this->pending.size() >= max_pending;
 }
 
-void departure_recorder::announce(server_departure departure, TimePoint now) {
+void departure_recorder::announce(server_departure departure) {
   departure.proxy_address = this->proxy_address;
   this->announced += 1;
   const auto found = this->pending.find(departure.server_incarnation);
@@ -33,9 +33,6 @@
     last_sequence = std::max(last_sequence, departure.last_sequence);
     return;
   }
-  if (this->pending.empty() && !this->in_flight) {
-    this->next_call = now;
-  }
   this->pending[departure.server_incarnation] = {departure, this->announced};
 }
 
--- a/core/lifecycle/departure_recorder.h
+++ b/core/lifecycle/departure_recorder.h
@@ -60,7 +60,7 @@
   /// Whether so many departures wait to be stored that a report with another one must be refused.
   [[nodiscard]] auto is_full() const -> bool;
   /// Adds a departure to be stored. Its proxy_address is filled in.
-  void announce(server_departure departure, TimePoint now);
+  void announce(server_departure departure);
   /// Identifies the departures that were announced so far, for verdict().
   [[nodiscard]] auto last_announced() const -> std::uint64_t { return this->announced; }
   /// Returns the verdict on a report that was received at `received` and announced departures up
--- a/core/lifecycle/local_server.h
+++ b/core/lifecycle/local_server.h
@@ -111,7 +111,7 @@
     bool left = false;
     bool draining = false;
     bool reported_leaving = false;  ///< Reported in an answer.
-    /// A former process acknowledged that it is draining: other proxies have known for long.
+    /// A former process acknowledged that it is leaving: no further request is admitted.
     bool acknowledged_before = false;
   };
   [[nodiscard]] bool isCurrent(const std::string& incarnation) const;
--- a/daemon/proxy/server_departures.cc
+++ b/daemon/proxy/server_departures.cc
@@ -67,7 +67,7 @@
 }
 
 void server_departures::announce(const server_departure& departure) {
-  this->recorder.announce(departure, EventLoop::now());
+  this->recorder.announce(departure);
   this->check_soon();
 }
 
--- a/daemon/proxy/server_departures.h
+++ b/daemon/proxy/server_departures.h
@@ -27,17 +27,17 @@
   server_departures(EventLoop& loop, ProxySession& session, ControlChannels& channels,
                     own_server& server, std::string own_address);
 
-  /// Calls `process` once reports may be processed, possibly at once.
+  /// Calls `process` from the event loop once reports may be processed. Reports keep their order.
   void when_processable(std::function<void()> process);
-  /// Calls `done` with true once all departures announced so far are stored, possibly at once, or
-  /// with false if they are not stored in time.
+  /// Calls `done` from the event loop: with true once all departures announced so far are stored,
+  /// or with false if they are not stored in time.
   void when_stored(std::function<void(bool stored)> done);
   /// Whether reports with further departures must be refused for now.
   [[nodiscard]] auto is_full() const -> bool { return this->recorder.is_full(); }
-  /// The server announced its departure.
+  /// Stores a departure that the server has announced.
   void announce(const server_departure& departure);
-  /// Makes the call that is due, if a leader is known, and completes what has waited for it. Must
-  /// be called when a leader may have become known.
+  /// Processes and answers the reports for which that is possible, and makes the call that is due
+  /// if a leader is known. Must be called when a leader may have become known.
   void check();
 
  private:
--- a/tests/core/lifecycle/departure_recorder_test.cc
+++ b/tests/core/lifecycle/departure_recorder_test.cc
@@ -96,7 +96,7 @@
 // Guards against an acknowledgement of a departure that is lost with the process.
 TEST_P(verdict_test, departure_is_acknowledged_only_once_it_is_stored) {
   auto recorder = restored_recorder();
-  recorder.announce(departure("a"), start);
+  recorder.announce(departure("a"));
   const auto number = recorder.last_announced();
   EXPECT_EQ(recorder.verdict(number, start, start), report_verdict::wait);
   ASSERT_EQ(stored_by(recorder.take_call(start)).size(), 1U);
@@ -128,10 +128,10 @@
 
 TEST(departure_recorder, report_does_not_wait_for_later_departures) {
   auto recorder = restored_recorder();
-  recorder.announce(departure("a"), start);
+  recorder.announce(departure("a"));
   const auto first = recorder.last_announced();
   recorder.take_call(start);
-  recorder.announce(departure("b"), start);
+  recorder.announce(departure("b"));
   const auto second = recorder.last_announced();
   recorder.on_result(departure_result::done, start);
   EXPECT_EQ(recorder.verdict(first, start, start), report_verdict::acknowledge);
@@ -144,9 +144,9 @@
 // Guards against a leave that is acknowledged because the server's draining was stored.
 TEST(departure_recorder, departure_with_a_higher_sequence_is_stored_once_more) {
   auto recorder = restored_recorder();
-  recorder.announce(departure("a", 5), start);
+  recorder.announce(departure("a", 5));
   ASSERT_EQ(stored_by(recorder.take_call(start)).size(), 1U);
-  recorder.announce(departure("a"), start);
+  recorder.announce(departure("a"));
   const auto leave = recorder.last_announced();
   recorder.on_result(departure_result::done, start);
   EXPECT_EQ(recorder.verdict(leave, start, start), report_verdict::wait);
@@ -162,7 +162,7 @@
   auto recorder = restored_recorder();
   for (auto i = 0; i < 64; ++i) {
     EXPECT_FALSE(recorder.is_full());
-    recorder.announce(departure("i-" + std::to_string(i)), start);
+    recorder.announce(departure("i-" + std::to_string(i)));
   }
   EXPECT_TRUE(recorder.is_full());
   recorder.take_call(start);
