--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build-review-2
-for source in review/[4-8]/case.cpp; do
+for source in review/[4-8]/main.cpp; do
   [ -e "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   g++ -std=c++17 -O2 -Wall -Wextra -pthread -o "build-review-2/case-$number" "$source"
