--- a/core/admission/run_outcome.cc
+++ b/core/admission/run_outcome.cc
@@ -37,6 +37,22 @@
   return ServerOutcome::kLost;
 }
 
+auto text_of(run_failure failure) -> std::string_view {
+  switch (failure) {
+    case run_failure::no_socket:
+      return "no socket";
+    case run_failure::not_connected:
+      return "not connected";
+    case run_failure::refused:
+      return "refused";
+    case run_failure::connection_lost:
+      return "connection lost";
+    case run_failure::invalid_answer:
+      return "invalid answer";
+  }
+  return "";
+}
+
 auto refusal_after(run_failure failure, answer_progress progress, bool has_other_connections)
     -> std::optional<inbound_refusal> {
   switch (failure) {
--- a/core/admission/run_outcome.h
+++ b/core/admission/run_outcome.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 #include "core/admission/inbound_refusal.h"
 #include "core/admission/server_admission.h"
@@ -32,6 +33,8 @@
 };
 
 [[nodiscard]] auto outcome_of(run_failure failure) -> ServerOutcome;
+/// Returns the reason as written in log lines.
+[[nodiscard]] auto text_of(run_failure failure) -> std::string_view;
 
 /// Returns whether a crash of the server may have caused the failure.
 [[nodiscard]] constexpr auto may_be_crash(run_failure failure) -> bool {
--- a/daemon/proxy/forwarded_answer.cc
+++ b/daemon/proxy/forwarded_answer.cc
@@ -165,7 +165,7 @@
   }
   const auto self = shared_from_this();
   if (state_ == State::kAnswering) {
-    abortAnswer();
+    abortAnswer(text_of(toAttemptFailure(failure)));
     return;
   }
   const attempt_failure how = toAttemptFailure(failure);
--- a/daemon/proxy/forwarded_request.cc
+++ b/daemon/proxy/forwarded_request.cc
@@ -138,7 +138,7 @@
     return;
   }
   attempt_->upstream->cancel();
-  abortAnswer();
+  abortAnswer(form_of(own_answer_kind::body_too_large).reason);
 }
 
 void ForwardedRequest::onDeadline() {
@@ -151,7 +151,7 @@
     attempt_->upstream->cancel();
   }
   if (state_ == State::kAnswering) {
-    abortAnswer();
+    abortAnswer(form_of(own_answer_kind::deadline_may_have_run).reason);
     return;
   }
   endAttempt();
@@ -168,8 +168,17 @@
   }
 }
 
-void ForwardedRequest::abortAnswer() {
+void ForwardedRequest::abortAnswer(std::string_view reason) {
+  const TimePoint now = EventLoop::now();
   context_.counters.broken_off += 1;
+  if (context_.cut_log.allow(now.count())) {
+    logEvent(now.count(), context_.cut_log.event(),
+             {{"request", exchange_->request().get(context_.api.headers().request_id)},
+              {"digest", digest_},
+              {"reason", std::string(reason)},
+              {"service", params_.service},
+              {"held_us", std::to_string((now - params_.received).count())}});
+  }
   done();
   exchange_->breakOff();
 }
--- a/daemon/proxy/forwarded_request.h
+++ b/daemon/proxy/forwarded_request.h
@@ -27,6 +27,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "core/answers/own_answer.h"
 #include "core/retries/retry_rule.h"
@@ -123,7 +124,7 @@
   /// The Retry-After time of the answer, randomized if the answer asks for spreading.
   [[nodiscard]] std::optional<Duration> retryAfter(const own_answer& answer);
   /// Aborts an answer whose head was already sent, so that the client sees that it is incomplete.
-  void abortAnswer();
+  void abortAnswer(std::string_view reason);
   [[nodiscard]] Duration timeLeft() const { return params_.deadline - EventLoop::now(); }
 
   ProxyContext& context_;
--- a/daemon/proxy/inbound_answer.cc
+++ b/daemon/proxy/inbound_answer.cc
@@ -102,6 +102,21 @@
             {"load", formatLoad(context_.own.load(route_))}});
 }
 
+void InboundRequest::cutAnswer(run_failure failure) {
+  const TimePoint now = EventLoop::now();
+  if (context_.cut_log.allow(now.count())) {
+    logEvent(now.count(), context_.cut_log.event(),
+             {{"request", exchange_->request().get(context_.api.headers().request_id)},
+              {"digest", digest_ ? format_digest(*digest_) : std::string()},
+              {"reason", std::string(text_of(failure))},
+              {"instance", incarnation_},
+              {"held_us", std::to_string((now - received_).count())}});
+  }
+  const auto exchange = exchange_;
+  done();
+  exchange->breakOff();
+}
+
 void InboundRequest::count(refusal_counter counter) {
   switch (counter) {
     case refusal_counter::none:
@@ -257,9 +272,7 @@
   if (refusal) {
     refuse(*refusal);
   } else {
-    const auto exchange = exchange_;
-    done();
-    exchange->breakOff();
+    cutAnswer(failure);
   }
   finishServerWork(outcome_of(failure));
 }
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -83,6 +83,8 @@
   /// Refuses the request because the server's announced rate limit cannot admit it in time.
   void refuseForRate();
   void logRefusal(const std::string& outcome, const std::string& reason, TimePoint now);
+  /// Ends an answer whose head was forwarded, so that the sender sees that it is incomplete.
+  void cutAnswer(run_failure failure);
   void count(refusal_counter counter);
   void finishServerWork(ServerOutcome outcome);
   /// Processes the header fields by which the server reports on itself.
--- a/daemon/proxy/proxy_context.h
+++ b/daemon/proxy/proxy_context.h
@@ -120,7 +120,8 @@
   DecisionLimit own_answer_log{"own_answer"};    ///< Answers given here in place of a server's.
   DecisionLimit retry_log{"repeat"};             ///< Retries.
   DecisionLimit refusal_log{"inbound_refused"};  ///< Peers' requests that were refused here.
-  DecisionLimit limit_log{"inbound_limited"};    ///< Those refused for the announced rate limit.
+  DecisionLimit cut_log{"answer_cut"};  ///< Answers of servers that were cut after their head.
+  DecisionLimit limit_log{"inbound_limited"};  ///< Those refused for the announced rate limit.
 };
 
 }  // namespace ramppond
--- a/net/stream/http_client.cc
+++ b/net/stream/http_client.cc
@@ -53,6 +53,8 @@
   void onData(std::string_view bytes) override;
   void onEnd(ConnectionEnd end) override;
   void onDrained() override;
+  // The peer may have sent its whole answer before it stopped reading the request.
+  [[nodiscard]] bool keepsUnreadBytes() const override { return exchange_ != nullptr; }
   void onMessageHead(HttpHead head) override;
   void onMessageBody(std::string_view data) override;
   void parse(std::string_view bytes);
@@ -246,7 +248,8 @@
   exchange->connection_.reset();
   parser_.reset();
   input_.clear();
-  if (reusable_ && peer_keeps_ && whole_request && *pool_alive_ && !closing()) {
+  const bool usable = reusable_ && peer_keeps_ && !writeFailed() && !closing();
+  if (usable && whole_request && *pool_alive_) {
     resumeReading();
     pool_.release(self, keep_);
   } else {
--- a/net/stream/tcp_connection.cc
+++ b/net/stream/tcp_connection.cc
@@ -163,8 +163,8 @@
     return;
   }
   if (error) {
-    finishReading(error == boost::asio::error::eof ? ConnectionEnd::kClosedByPeer
-                                                   : ConnectionEnd::kBroken);
+    const bool orderly = error == boost::asio::error::eof && !end_is_broken_;
+    finishReading(orderly ? ConnectionEnd::kClosedByPeer : ConnectionEnd::kBroken);
     return;
   }
   if (!closing_) {
@@ -189,7 +189,7 @@
 }
 
 void TcpConnection::write(std::string_view bytes) {
-  if (closing_ || closed_) {
+  if (closing_ || closed_ || write_failed_) {
     return;
   }
   output_.append(bytes);
@@ -221,16 +221,7 @@
       break;
     }
     if (error) {
-      // The peer's last bytes may still be there to read: the reading side tells the end.
-      output_.clear();
-      sent_ = 0;
-      if (!reading_ || paused_ || closing_) {
-        const bool tell = !closing_;
-        closeSocket();
-        if (tell) {
-          onEnd(ConnectionEnd::kBroken);
-        }
-      }
+      onWriteFailed(error);
       return;
     }
     sent_ += size;
@@ -238,6 +229,26 @@
   afterFlush();
 }
 
+// What the peer sent before the failure may still be there to read: the reading side tells the end.
+// The failed write has taken the error from the socket, so that a read after the last byte returns
+// an end of file whether the peer closed in order or not. Only EPIPE says that it did: the system
+// reports a reset so if the end of the peer's bytes had come before it.
+void TcpConnection::onWriteFailed(const boost::system::error_code& error) {
+  output_.clear();
+  sent_ = 0;
+  write_failed_ = true;
+  end_is_broken_ = error != boost::asio::error::broken_pipe;
+  const bool reads_on = reading_ && !closing_ && (!paused_ || keepsUnreadBytes());
+  if (reads_on) {
+    return;
+  }
+  const bool tell = !closing_;
+  closeSocket();
+  if (tell) {
+    onEnd(ConnectionEnd::kBroken);
+  }
+}
+
 void TcpConnection::afterFlush() {
   if (unsent() == 0) {
     output_.clear();
--- a/net/stream/tcp_connection.h
+++ b/net/stream/tcp_connection.h
@@ -52,6 +52,8 @@
   void setUserTimeout(Duration timeout);
   [[nodiscard]] bool closed() const { return closed_; }
   [[nodiscard]] bool closing() const { return closing_ || closed_; }
+  /// Whether nothing more can be sent, although what the peer has sent may still arrive.
+  [[nodiscard]] bool writeFailed() const { return write_failed_; }
 
  protected:
   /// Begins to read; call once the object is held by a shared_ptr and connected.
@@ -68,6 +70,10 @@
   virtual void onEnd(ConnectionEnd end) = 0;
   /// The output has fallen from above the high-water mark to below it.
   virtual void onDrained() {}
+  /// Whether a connection that can no longer be written to, and whose reading is paused, stays
+  /// until reading resumes, so that the bytes that came before the failure still arrive. Otherwise
+  /// it ends at once.
+  [[nodiscard]] virtual bool keepsUnreadBytes() const { return false; }
   EventLoop& loop() { return loop_; }
 
  private:
@@ -77,6 +83,7 @@
   void finishReading(ConnectionEnd end);
   void scheduleFlush();
   void flush();
+  void onWriteFailed(const boost::system::error_code& error);
   void waitWritable();
   void afterFlush();
   void closeSocket();
@@ -98,7 +105,9 @@
   bool was_congested_ = false;
   bool closing_ = false;
   bool closed_ = false;
-  bool counted_ = false;  ///< Among the loop's sockets.
+  bool write_failed_ = false;
+  bool end_is_broken_ = false;  ///< The end of the incoming bytes is not an orderly one.
+  bool counted_ = false;        ///< Among the loop's sockets.
 };
 
 }  // namespace ramppond
--- /dev/null
+++ b/tests/net/stream/http_client_test.cc
@@ -0,0 +1,224 @@
+// Answers of servers that break off, stop in their head or never end, as the client side of the
+// forwarding path's HTTP takes them.
+#include "net/stream/http_client.h"
+
+#include <gtest/gtest.h>
+
+#include <ostream>
+
+#include "tests/net/raw_server.h"
+
+namespace ramppond {
+namespace {
+
+constexpr Duration kTestLimit = seconds(20);
+// More than the buffers of two sockets hold, so that the client still writes when the answer ends.
+constexpr std::size_t kUploadBytes = 24U << 20U;
+constexpr std::size_t kHalfAnswerBytes = 20000;
+constexpr Duration kShortUserTimeout = milliseconds(400);
+
+class RecordingClient : public ClientHandler {
+ public:
+  explicit RecordingClient(EventLoop& loop) : loop_(loop) {}
+  void onResponseHead(HttpHead head) override { status = head.status; }
+  void onResponseBody(std::string_view data) override {
+    body.append(data);
+    if (pauses_at_body) {
+      pauses_at_body = false;
+      exchange->pauseResponse();
+      resume_.after(milliseconds(500), [this] { exchange->resumeResponse(); });
+    }
+  }
+  void onResponseEnd() override {
+    complete = true;
+    loop_.stop();
+  }
+  void onRequestFailed(ClientFailure reason) override {
+    failure = reason;
+    loop_.stop();
+  }
+  std::shared_ptr<ClientExchange> exchange;
+  bool pauses_at_body = false;  ///< Pauses once, as for a client that reads slowly.
+  int status = 0;
+  std::string body;
+  bool complete = false;
+  std::optional<ClientFailure> failure;
+
+ private:
+  EventLoop& loop_;
+  LoopTimer resume_{loop_};
+};
+
+class HttpClientTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    limit_.after(kTestLimit, [this] {
+      timed_out_ = true;
+      loop_.stop();
+    });
+  }
+  void startServer(const RawServer::Serve& serve) {
+    server_ = std::make_unique<RawServer>("127.0.0.1", 0, serve);
+    ASSERT_TRUE(server_->listening());
+    HttpClientOptions options;
+    options.endpoint = {"127.0.0.1", server_->port()};
+    options.id_header = "Request-Id";
+    options.user_timeout = user_timeout_;
+    pool_ = std::make_unique<HttpClientPool>(loop_, options);
+  }
+  /// Sends a request with id "a" and waits for its end.
+  std::shared_ptr<RecordingClient> send(std::size_t body_bytes, bool pauses_at_body = false) {
+    const auto client = std::make_shared<RecordingClient>(loop_);
+    client->pauses_at_body = pauses_at_body;
+    HttpHead head;
+    head.method = body_bytes == 0 ? "GET" : "POST";
+    head.target = "/";
+    head.fields = {{"Host", "test"}, {"Request-Id", "a"}};
+    head.content_length = body_bytes;
+    const BodyFraming framing = body_bytes == 0 ? BodyFraming::kNone : BodyFraming::kLength;
+    client->exchange = pool_->start(head, framing, std::string(body_bytes, 'u'), true, client);
+    loop_.context().restart();
+    loop_.run();
+    EXPECT_FALSE(timed_out_);
+    client->exchange->cancel();
+    return client;
+  }
+
+  EventLoop loop_;
+  LoopTimer limit_{loop_};
+  bool timed_out_ = false;
+  Duration user_timeout_ = seconds(4);
+  std::unique_ptr<RawServer> server_;
+  std::unique_ptr<HttpClientPool> pool_;
+};
+
+const std::string kHead = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n";
+const std::string kHalf(kHalfAnswerBytes, 'x');
+
+std::string lengthField(std::size_t bytes) {
+  return "Content-Length: " + std::to_string(bytes) + "\r\n\r\n";
+}
+
+/// How an answer ends that the server gives while the client still writes its request.
+enum class AnswerEnd : std::uint8_t {
+  kCloseWithUnreadBytes,    ///< The system resets the connection.
+  kReset,                   ///< As after a crash.
+  kResetAtOnce,             ///< Together with the last bytes.
+  kOrderlyThenReset,        ///< The end of the answer is sent; then the server stops reading.
+  kNeverReadsOn,            ///< Nothing more comes and nothing is read.
+  kOrderlyThenNeverReadsOn  ///< The end of the answer is sent, and nothing is read.
+};
+
+struct EarlyAnswer {
+  const char* name;
+  std::string bytes;
+  AnswerEnd end;
+  bool complete;
+};
+
+void PrintTo(const EarlyAnswer& answer, std::ostream* out) {
+  *out << answer.name;
+}
+
+void endAnswer(RawServerConnection& connection, AnswerEnd end) {
+  constexpr int kArrivalMs = 100;      // Until the client has read the answer and writes on.
+  constexpr int kNeverReadsMs = 2000;  // Beyond the client's time-out.
+  if (end == AnswerEnd::kOrderlyThenReset || end == AnswerEnd::kOrderlyThenNeverReadsOn) {
+    connection.finishSending();
+  }
+  const bool waits = end == AnswerEnd::kNeverReadsOn || end == AnswerEnd::kOrderlyThenNeverReadsOn;
+  if (end != AnswerEnd::kResetAtOnce) {
+    connection.pause(waits ? kNeverReadsMs : kArrivalMs);
+  }
+  if (end == AnswerEnd::kReset || end == AnswerEnd::kResetAtOnce ||
+      end == AnswerEnd::kOrderlyThenReset) {
+    connection.resetOnClose();
+  }
+}
+
+class EarlyAnswerTest : public HttpClientTest, public testing::WithParamInterface<EarlyAnswer> {
+ protected:
+  void SetUp() override {
+    HttpClientTest::SetUp();
+    user_timeout_ = kShortUserTimeout;
+    startServer([](RawServerConnection& connection) {
+      connection.readHead();
+      connection.send(GetParam().bytes);
+      endAnswer(connection, GetParam().end);
+    });
+  }
+};
+
+// Guards against an answer without a length that is cut off while the request is being written: the
+// write takes the error from the connection, whose end then looks like the end of the answer. The
+// rows that are complete guard against taking every failed write for such a cut.
+TEST_P(EarlyAnswerTest, IsCompleteOnlyIfTheServerSentItsEnd) {
+  const auto client = send(kUploadBytes);
+  EXPECT_EQ(client->status, 200);
+  EXPECT_EQ(client->complete, GetParam().complete);
+  if (!GetParam().complete) {
+    EXPECT_EQ(client->failure, ClientFailure::kBrokenAnswer);
+  }
+}
+
+// The same while the client of the answer reads slowly, so that the end is found late.
+TEST_P(EarlyAnswerTest, IsCompleteOnlyIfTheServerSentItsEndWhenReadLate) {
+  const auto client = send(kUploadBytes, true);
+  EXPECT_EQ(client->complete, GetParam().complete);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, EarlyAnswerTest,
+    testing::Values(
+        EarlyAnswer{"WithoutLengthReset", kHead + "\r\n" + kHalf, AnswerEnd::kReset, false},
+        EarlyAnswer{"WithoutLengthResetAtOnce", kHead + "\r\n" + kHalf, AnswerEnd::kResetAtOnce,
+                    false},
+        EarlyAnswer{"LengthWholeResetAtOnce", kHead + lengthField(kHalfAnswerBytes) + kHalf,
+                    AnswerEnd::kResetAtOnce, true},
+        EarlyAnswer{"WithoutLengthUnreadBytes", kHead + "\r\n" + kHalf,
+                    AnswerEnd::kCloseWithUnreadBytes, false},
+        EarlyAnswer{"WithoutLengthTimedOut", kHead + "\r\n" + kHalf, AnswerEnd::kNeverReadsOn,
+                    false},
+        EarlyAnswer{"LengthCutByReset", kHead + lengthField(2 * kHalfAnswerBytes) + kHalf,
+                    AnswerEnd::kReset, false},
+        EarlyAnswer{"ChunksCutByReset",
+                    kHead + "Transfer-Encoding: chunked\r\n\r\n" + chunkBytes(kHalf),
+                    AnswerEnd::kReset, false},
+        EarlyAnswer{"WithoutLengthWhole", kHead + "Connection: close\r\n\r\n" + kHalf,
+                    AnswerEnd::kOrderlyThenReset, true},
+        EarlyAnswer{"LengthWholeThenReset", kHead + lengthField(kHalfAnswerBytes) + kHalf,
+                    AnswerEnd::kReset, true},
+        EarlyAnswer{"LengthWholeThenUnreadBytes", kHead + lengthField(kHalfAnswerBytes) + kHalf,
+                    AnswerEnd::kCloseWithUnreadBytes, true},
+        EarlyAnswer{"ChunksWholeThenReset",
+                    kHead + "Transfer-Encoding: chunked\r\n\r\n" + chunkBytes(kHalf) +
+                        std::string(kLastChunk),
+                    AnswerEnd::kReset, true}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// An end that is read before the write times out is the answer's end.
+TEST_F(HttpClientTest, AnswerThatEndsBeforeTheWriteTimesOutIsComplete) {
+  user_timeout_ = kShortUserTimeout;
+  startServer([](RawServerConnection& connection) {
+    connection.readHead();
+    connection.send(kHead + "Connection: close\r\n\r\n" + kHalf);
+    endAnswer(connection, AnswerEnd::kOrderlyThenNeverReadsOn);
+  });
+  EXPECT_TRUE(send(kUploadBytes)->complete);
+}
+
+// Guards against a request that is lost on a connection over which nothing can be sent any more.
+TEST_F(HttpClientTest, ConnectionWhoseWriteFailedIsNotUsedAgain) {
+  startServer([](RawServerConnection& connection) {
+    connection.readHead();
+    connection.send(kHead + lengthField(kHalfAnswerBytes) + kHalf.substr(1));
+    connection.pause(100);
+    connection.send(kHalf.substr(0, 1));
+    connection.resetOnClose();
+  });
+  EXPECT_TRUE(send(kUploadBytes, true)->complete);
+  EXPECT_EQ(pool_->idle(), 0U);
+}
+
+}  // namespace
+}  // namespace ramppond
--- a/tests/platform/fake_platform.cc
+++ b/tests/platform/fake_platform.cc
@@ -76,6 +76,12 @@
   return head;
 }
 
+/// The proxy of this build, or another one that the environment names.
+std::string proxyProgram() {
+  const char* other = std::getenv("RAMPPOND_PROXY_PROGRAM");
+  return other == nullptr ? RAMPPOND_PROXY : other;
+}
+
 /// Formats a TOML array of strings.
 std::string tomlList(const std::vector<std::string>& texts) {
   std::string list = "[";
@@ -162,6 +168,22 @@
   return 0;
 }
 
+double Program::processorSeconds() const {
+  std::ifstream stat("/proc/" + std::to_string(process_) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(stat)), std::istreambuf_iterator<char>());
+  // The second field is the program's name in brackets; user and system time are fields 14 and 15.
+  std::istringstream fields(text.substr(std::min(text.rfind(')') + 1, text.size())));
+  constexpr int kFieldsBefore = 11;
+  std::string skipped;
+  for (int field = 0; field < kFieldsBefore; ++field) {
+    fields >> skipped;
+  }
+  double user = 0;
+  double system = 0;
+  fields >> user >> system;
+  return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
 bool Program::running() {
   if (process_ <= 0) {
     return false;
@@ -198,6 +220,10 @@
       loop_, Endpoint{host_, ports_.server}, HttpServerOptions{},
       [this](const std::shared_ptr<ServerExchange>& exchange) { serve(exchange); });
   server_->start();
+  startReports();
+}
+
+void AppServer::startReports() {
   HttpClientOptions options;
   options.endpoint = {host_, ports_.reports};
   reports_ = std::make_unique<HttpClientPool>(loop_, options);
@@ -218,8 +244,9 @@
                               std::function<void(int status)> done) {
   const std::string body = R"({"address":")" + Endpoint{host_, ports_.server}.toString() +
                            R"(","info":{"service":")" + service_ +
-                           R"(","version":"v1","zone":"z","slots":8},"status":{"state":")" + state +
-                           R"(","seq":)" + std::to_string(sequence) + R"(,"cold_left_s":0}})";
+                           R"(","version":"v1","zone":"z","slots":)" + std::to_string(slots) +
+                           R"(},"status":{"state":")" + state + R"(","seq":)" +
+                           std::to_string(sequence) + R"(,"cold_left_s":0}})";
   report("/heartbeat", body, std::move(done));
 }
 
@@ -449,7 +476,7 @@
   file << "]\nbounds = " << tomlList(bounds) << "\n" << proxy_settings;
   file.close();
   proxies[static_cast<std::size_t>(machine)] =
-      std::make_unique<Program>(RAMPPOND_PROXY, path, folder + "/log");
+      std::make_unique<Program>(proxyProgram(), path, folder + "/log");
 }
 
 void Deployment::startServers() {
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -35,6 +35,8 @@
   void restoreDiskWrites() const;
   /// Peak resident memory in KiB.
   [[nodiscard]] std::size_t peakMemoryKib() const;
+  /// Processor time used so far.
+  [[nodiscard]] double processorSeconds() const;
   [[nodiscard]] int exitStatus() const { return exit_status_; }
 
  private:
@@ -87,6 +89,8 @@
   AppServer(const AppServer&) = delete;
   AppServer& operator=(const AppServer&) = delete;
   void start();
+  /// Sends heartbeats only; requests are served by something else at the address.
+  void startReports();
   /// Sends a heartbeat with `state` now and at every interval.
   void beat(const std::string& state);
   void stopHeartbeats() { heartbeats_enabled_ = false; }
@@ -107,6 +111,7 @@
   std::size_t credentials_seen = 0;            ///< Number of requests with a client's credential.
   std::size_t heartbeats_acknowledged = 0;
   Duration work = milliseconds(5);
+  int slots = 8;  ///< In its heartbeats.
   std::string
       crashes_on;  ///< Crashes after processing a target that contains this text; empty for never.
   Duration time_to_restart = milliseconds(300);
