Cut an unfinished answer to an HTTP/1.0 client by a reset

What callers saw: a client of HTTP/1.0 takes the end of the connection for the end of an answer in chunks. If the proxy's process ended, or the client had sent its own end, such an answer was cut in order and looked whole.

Change: HttpServerConnection::abortUnfinished() resets the connection if the answer under way ends with it.

--- a/net/stream/http_server.cc
+++ b/net/stream/http_server.cc
@@ -40,6 +40,9 @@
   /// Reads what has arrived; if no request has begun then, says farewell and ends.
   void closeAtRest();
   void detachAll();
+  /// Ends the connection at once. An answer that is under way and whose end the client would take
+  /// from the end of the connection is cut by a reset.
+  void abortUnfinished();
   void onExchangeFinished();
   void respondError(int status);
   StreamHttpServer& server() { return server_; }
@@ -279,8 +282,12 @@
   });
 }
 
+void HttpServerConnection::abortUnfinished() {
+  abort(!exchanges_.empty() && exchanges_.front()->until_close_);
+}
+
 void HttpServerConnection::onEnd(ConnectionEnd /*end*/) {
-  abort(false);
+  abortUnfinished();
   detachAll();
 }
 
@@ -425,7 +432,7 @@
   *alive_ = false;
   const auto connections = std::exchange(connections_, {});
   for (const auto& connection : connections) {
-    connection->abort(false);
+    connection->abortUnfinished();
     connection->detachAll();
   }
 }
--- a/tests/net/stream/http_stream_test.cc
+++ b/tests/net/stream/http_stream_test.cc
@@ -1,9 +1,6 @@
 // Server and client side of the forwarding path's HTTP against each other and against raw bytes,
 // on one event loop.
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <functional>
 #include <memory>
@@ -13,35 +10,13 @@
 #include "net/stream/http_client.h"
 #include "net/stream/http_server.h"
 #include "tests/net/stream/free_endpoint.h"
+#include "tests/net/stream/raw_socket.h"
 
 namespace ramppond {
 namespace {
 
 constexpr Duration kTestLimit = seconds(20);
 
-/// A connection that stands, with a request in it that the server's loop has not seen.
-int connectAndSend(const Endpoint& endpoint, const std::string& bytes) {
-  sockaddr_in address = {};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(endpoint.port);
-  ::inet_pton(AF_INET, endpoint.host.c_str(), &address.sin_addr);
-  const int client = ::socket(AF_INET, SOCK_STREAM, 0);
-  EXPECT_EQ(::connect(client, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
-  EXPECT_EQ(::send(client, bytes.data(), bytes.size(), 0), static_cast<ssize_t>(bytes.size()));
-  return client;
-}
-
-/// What came until the peer's end; closes the connection.
-std::string readToEnd(int client) {
-  std::string received;
-  char buffer[4096];
-  for (ssize_t size = 0; (size = ::recv(client, buffer, sizeof buffer, 0)) > 0;) {
-    received.append(buffer, static_cast<std::size_t>(size));
-  }
-  ::close(client);
-  return received;
-}
-
 /// Answers with the request's own id and body.
 class EchoHandler : public ExchangeHandler {
  public:
