Bound what a peer may send that is no answer

What callers saw: bytes without end of a server in trouble filled a proxy's memory until the requests' deadline, or held requests until then although no answer could come of them. A health path was read up to 866 MB a query.

Cause: nothing bounded the line before a chunk, the last chunk with its trailer, fields that come one at a time, the number of interim answers, the length of answers to another id, and bodies that nobody needs. What was kept was copied with each read, so that the time for a read grew with what had come.

Change: HttpParser bounds the sum of a head's fields and what it leaves for the next read; InputBuffer adds and removes without moving what stays; 32 interim answers a request; 4 MiB of answers to others, and at once if one states more; 64 KiB of a body that nobody needs (core/admission/discarded_body). Clients' requests go through the same parser: 431 for a head, 400 for the framing of a body.

--- a/daemon/proxy/inbound_answer.cc
+++ b/daemon/proxy/inbound_answer.cc
@@ -1,4 +1,5 @@
 // Response handling of a peer's request: relays the local server's answer, or refuses in its place.
+#include "core/admission/discarded_body.h"
 #include "daemon/proxy/inbound_request.h"
 #include "daemon/proxy/peer_headers.h"
 #include "net/stream/http_status.h"
@@ -204,7 +205,11 @@
 }
 
 void InboundRequest::onResponseBody(std::string_view data) {
-  if (state_ != State::kRunning || discarding_) {
+  if (state_ != State::kRunning) {
+    return;
+  }
+  if (discarding_) {
+    discard(data);
     return;
   }
   exchange_->sendBody(data);
@@ -213,6 +218,17 @@
   }
 }
 
+void InboundRequest::discard(std::string_view data) {
+  discarded_.value += data.size();
+  if (may_discard(discarded_)) {
+    return;
+  }
+  const auto self = shared_from_this();
+  upstream_->cancel();
+  refuse(inbound_refusal::declared_not_run);
+  finishAnswered();
+}
+
 void InboundRequest::onResponseDrained() {
   if (upstream_ != nullptr) {
     upstream_->resumeResponse();
@@ -231,6 +247,10 @@
     done();
     exchange->finish();
   }
+  finishAnswered();
+}
+
+void InboundRequest::finishAnswered() {
   if (digest_) {
     context_.guard.on_answered(*digest_, begun_, outcome_ == ServerOutcome::kAnswered);
   }
--- a/daemon/proxy/inbound_request.h
+++ b/daemon/proxy/inbound_request.h
@@ -11,6 +11,7 @@
 #include "core/admission/inbound_refusal.h"
 #include "core/admission/isolation_rule.h"
 #include "core/admission/run_outcome.h"
+#include "core/byte_count.h"
 #include "daemon/proxy/peer_headers.h"
 #include "daemon/proxy/proxy_context.h"
 #include "net/stream/http_client.h"
@@ -87,6 +88,11 @@
   void cutAnswer(run_failure failure);
   void count(refusal_counter counter);
   void finishServerWork(ServerOutcome outcome);
+  /// Counts a part of the body of an answer that says "not run", and ends the request if the body
+  /// is too long to wait for its end.
+  void discard(std::string_view data);
+  /// Ends the request's run by the answer whose head has arrived.
+  void finishAnswered();
   /// Processes the header fields by which the server reports on itself.
   void processServerHeaders(const HttpHead& head);
   /// Adds the local server's load, and the overload of services further down, for the sending
@@ -130,6 +136,7 @@
   bool is_retry_ = false;    ///< A server may have run it before; see kPeerRetry.
   bool in_flight_ = false;   ///< Counted as in flight by the admission.
   bool discarding_ = false;  ///< The server's answer says "not run": its body is discarded.
+  byte_count discarded_;     ///< Received of that body.
   ServerOutcome outcome_ = ServerOutcome::kAnswered;  ///< Judged by the head of the answer.
 };
 
--- a/daemon/proxy/server_load_monitor.cc
+++ b/daemon/proxy/server_load_monitor.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "common/event_log.h"
+#include "core/admission/discarded_body.h"
 #include "net/stream/http_status.h"
 
 namespace ramppond {
@@ -40,13 +41,19 @@
       this->monitor.record(this->incarnation, this->monitor.api.parseServerLoad(head.all(name)));
     }
   }
-  void onResponseBody(std::string_view /*data*/) override {}
+  void onResponseBody(std::string_view data) override {
+    this->received.value += data.size();
+    if (!may_discard(this->received)) {
+      this->monitor.end_query(false);
+    }
+  }
   void onResponseEnd() override { this->monitor.end_query(true); }
   void onRequestFailed(ClientFailure /*failure*/) override { this->monitor.end_query(false); }
 
  private:
   server_load_monitor& monitor;
   std::string incarnation;
+  byte_count received;  // of the body
 };
 
 server_load_monitor::server_load_monitor(EventLoop& loop, const ExternalApi& api,
--- a/net/stream/http_client.cc
+++ b/net/stream/http_client.cc
@@ -3,11 +3,17 @@
 #include <algorithm>
 #include <vector>
 
+#include "net/stream/input_buffer.h"
+
 namespace ramppond {
 namespace {
 
 constexpr std::uint32_t kMaximumHeadBytes = 65536;
+// What may come on a connection before the own answer; a peer that sends more is not about to
+// answer.
 constexpr std::uint32_t kMaximumSurplus = 4;
+constexpr std::uint32_t kMaximumInterim = 32;
+constexpr std::uint64_t kMaximumSurplusBytes = 4U << 20U;  ///< Of all surplus answers together.
 // Closes this long before the peer would, so that a request does not cross its close.
 constexpr Duration kIdleMargin = milliseconds(1500);
 
@@ -57,7 +63,9 @@
   [[nodiscard]] bool keepsUnreadBytes() const override { return exchange_ != nullptr; }
   void onMessageHead(HttpHead head) override;
   void onMessageBody(std::string_view data) override;
-  void parse(std::string_view bytes);
+  std::optional<std::size_t> parse(std::string_view bytes);
+  void onInterimHead(int status);
+  void onSurplusHead(const HttpHead& head);
   bool onMessageComplete();
   void fail(ClientFailure failure);
   void newParser();
@@ -71,14 +79,16 @@
   bool established_ = false;
   std::shared_ptr<ClientExchange> exchange_;
   std::unique_ptr<HttpParser> parser_;
-  std::string input_;
+  InputBuffer input_;
   bool head_told_ = false;  ///< Of the own answer.
   bool interim_ = false;    ///< A 1xx answer, to be passed over.
   bool surplus_ = false;    ///< An answer to another request, to be passed over.
   bool invalid_ = false;
   bool reusable_ = true;
   bool peer_keeps_ = true;
+  std::uint32_t interim_seen_ = 0;  ///< For the request under way.
   std::uint32_t surplus_seen_ = 0;
+  std::uint64_t surplus_bytes_ = 0;
   Duration keep_{0};
 };
 
@@ -93,6 +103,7 @@
   exchange_ = exchange;
   exchange->connection_ = std::static_pointer_cast<HttpClientConnection>(shared_from_this());
   head_told_ = false;
+  interim_seen_ = 0;
   newParser();
   exchange->sent_ = true;
   write(std::exchange(exchange->head_bytes_, std::string()));
@@ -136,36 +147,45 @@
     leavePool();
     return;
   }
-  if (input_.empty()) {
-    parse(bytes);
+  const auto self = shared_from_this();
+  const bool buffered = !input_.empty();
+  if (buffered) {
+    input_.append(bytes);
+  }
+  const std::optional<std::size_t> used = parse(buffered ? input_.view() : bytes);
+  if (!used) {
     return;
   }
-  const std::string joined = std::exchange(input_, std::string()) + std::string(bytes);
-  parse(joined);
+  if (buffered) {
+    input_.consume(*used);
+  } else {
+    input_.append(bytes.substr(*used));
+  }
 }
 
-void HttpClientConnection::parse(std::string_view bytes) {
-  const auto self = shared_from_this();
+// Returns the number of bytes used while the own answer is awaited, or nothing once it has ended.
+std::optional<std::size_t> HttpClientConnection::parse(std::string_view bytes) {
   std::size_t used = 0;
   bool whole = false;
   while (exchange_ != nullptr && used < bytes.size() && !whole) {
     const ParseStep step = parser_->parse(bytes.substr(used));
     used += step.consumed;
     if (exchange_ == nullptr) {
-      return;  // Cancelled by what it was told.
+      return std::nullopt;  // Cancelled by what it was told.
     }
+    surplus_bytes_ += surplus_ ? step.consumed : 0;
+    invalid_ = invalid_ || surplus_bytes_ > kMaximumSurplusBytes;
     if (invalid_ || step.state == ParseState::kInvalid || step.state == ParseState::kTooLarge) {
       fail(head_told_ ? ClientFailure::kBrokenAnswer : ClientFailure::kInvalidAnswer);
-      return;
+      return std::nullopt;
     }
     if (step.state == ParseState::kIncomplete) {
-      input_.assign(bytes.substr(used));
-      return;
+      return used;
     }
     whole = onMessageComplete();
   }
   if (!whole) {
-    return;  // What came so far were other answers; the own one is still awaited.
+    return used;  // What came so far were other answers; the own one is still awaited.
   }
   // Bytes behind a whole answer belong to no request.
   if (used < bytes.size()) {
@@ -177,18 +197,17 @@
   if (exchange_ != nullptr) {
     end();
   }
+  return std::nullopt;
 }
 
 void HttpClientConnection::onMessageHead(HttpHead head) {
   interim_ = head.status >= 100 && head.status < 200;
   surplus_ = false;
-  if (interim_ && exchange_ != nullptr) {
-    const auto told = handler();
-    if (told != nullptr) {
-      told->onInterim(head.status);
-    }
+  if (exchange_ == nullptr) {
+    return;
   }
-  if (interim_ || exchange_ == nullptr) {
+  if (interim_) {
+    onInterimHead(head.status);
     return;
   }
   const auto& options = pool_.options();
@@ -201,13 +220,7 @@
       return;
     }
     if (!farewell && *echoed != exchange_->request_id_) {
-      surplus_ = true;
-      reusable_ = false;
-      surplus_seen_ += 1;
-      invalid_ = surplus_seen_ > kMaximumSurplus || !head.keep_alive;
-      if (*pool_alive_) {
-        pool_.counters_.surplus_answers += 1;
-      }
+      onSurplusHead(head);
       return;
     }
   }
@@ -220,6 +233,27 @@
   }
 }
 
+void HttpClientConnection::onInterimHead(int status) {
+  interim_seen_ += 1;
+  invalid_ = interim_seen_ > kMaximumInterim;
+  const auto told = handler();
+  if (told != nullptr && !invalid_) {
+    told->onInterim(status);
+  }
+}
+
+void HttpClientConnection::onSurplusHead(const HttpHead& head) {
+  surplus_ = true;
+  reusable_ = false;
+  surplus_seen_ += 1;
+  invalid_ = surplus_seen_ > kMaximumSurplus || !head.keep_alive;
+  // A stated length tells at once that the rest of the answer will not be read.
+  invalid_ = invalid_ || head.content_length.value_or(0) > kMaximumSurplusBytes;
+  if (*pool_alive_) {
+    pool_.counters_.surplus_answers += 1;
+  }
+}
+
 void HttpClientConnection::onMessageBody(std::string_view data) {
   if (surplus_ || interim_ || invalid_) {
     return;
--- a/net/stream/http_parser.cc
+++ b/net/stream/http_parser.cc
@@ -15,15 +15,20 @@
   return {view.data(), view.size()};
 }
 
-// Collects the head and passes the body on.
+constexpr std::size_t kFieldSeparatorBytes = 4;  ///< The colon, a space and the end of the line.
+
+// Collects the head and passes the body on. Fields of a trailer are dropped.
 template <bool isRequest>
 class BeastParser : public http::basic_parser<isRequest> {
  public:
-  explicit BeastParser(HttpMessageSink& sink) : sink_(sink) {
+  BeastParser(HttpMessageSink& sink, std::uint32_t head_limit)
+      : sink_(sink), head_limit_(head_limit) {
+    this->header_limit(head_limit);
     this->eager(true);
     // "No limit" (boost::none) would refuse every body with a length in Boost 1.74.
     this->body_limit(std::numeric_limits<std::uint64_t>::max());
   }
+  [[nodiscard]] std::size_t headLimit() const { return head_limit_; }
 
  private:
   void on_request_impl(http::verb /*verb*/, View method, View target, int version,
@@ -37,7 +42,16 @@
     head_.reason = toString(reason);
     head_.http_1_0 = version < 11;
   }
-  void on_field_impl(http::field field, View name, View value, Code& /*error*/) override {
+  void on_field_impl(http::field field, View name, View value, Code& error) override {
+    if (this->is_header_done()) {
+      return;
+    }
+    // Beast applies its limit to the fields that it is offered at a time, not to their sum.
+    field_bytes_ += name.size() + value.size() + kFieldSeparatorBytes;
+    if (field_bytes_ > head_limit_) {
+      error = http::error::header_limit;
+      return;
+    }
     if (field != http::field::content_length && field != http::field::transfer_encoding) {
       head_.fields.push_back({toString(name), toString(value)});
     }
@@ -67,6 +81,8 @@
 
   HttpMessageSink& sink_;
   HttpHead head_;
+  std::size_t head_limit_;
+  std::size_t field_bytes_ = 0;  ///< Of the head.
 };
 
 template <class Parser>
@@ -90,7 +106,12 @@
       break;
     }
   }
-  result.state = parser.is_done() ? ParseState::kComplete : ParseState::kIncomplete;
+  if (parser.is_done()) {
+    result.state = ParseState::kComplete;
+  } else if (bytes.size() - result.consumed > parser.headLimit()) {
+    // Beast bounds neither the line before a chunk nor a trailer.
+    result.state = ParseState::kTooLarge;
+  }
   return result;
 }
 
@@ -113,11 +134,9 @@
  public:
   Implementation(Side side, std::uint32_t head_limit, HttpMessageSink& sink) {
     if (side == Side::kRequests) {
-      request = std::make_unique<BeastParser<true>>(sink);
-      request->header_limit(head_limit);
+      request = std::make_unique<BeastParser<true>>(sink, head_limit);
     } else {
-      response = std::make_unique<BeastParser<false>>(sink);
-      response->header_limit(head_limit);
+      response = std::make_unique<BeastParser<false>>(sink, head_limit);
     }
   }
 
--- a/net/stream/http_parser.h
+++ b/net/stream/http_parser.h
@@ -22,7 +22,7 @@
   kIncomplete,  ///< More bytes are wanted.
   kComplete,    ///< The message has ended; what follows belongs to the next one.
   kInvalid,     ///< Not HTTP, or contradictory framing.
-  kTooLarge,    ///< The head is above its limit.
+  kTooLarge,    ///< The head, the line before a chunk, or the trailer is above the limit.
 };
 
 /// What one call to parse() did.
@@ -32,12 +32,14 @@
 };
 
 /// Parses one message. A head must be offered whole: unconsumed bytes are to be offered again
-/// with what follows them.
+/// with what follows them. There are never more of these than the limit, whatever the peer sends;
+/// parts that are offered again are not scanned again.
 class HttpParser {
  public:
   enum class Side : std::uint8_t { kRequests, kResponses };
 
-  /// `head_limit` in bytes. The sink must outlive the parser.
+  /// `head_limit` in bytes; it also bounds the line before a chunk with its extensions, and the
+  /// last chunk with the trailer. The sink must outlive the parser.
   HttpParser(Side side, std::uint32_t head_limit, HttpMessageSink& sink);
   ~HttpParser();
   HttpParser(const HttpParser&) = delete;
--- a/net/stream/http_server.cc
+++ b/net/stream/http_server.cc
@@ -4,6 +4,9 @@
 
 #include <vector>
 
+#include "net/stream/http_status.h"
+#include "net/stream/input_buffer.h"
+
 namespace ramppond {
 namespace {
 
@@ -73,7 +76,7 @@
   std::unique_ptr<HttpParser> parser_;
   std::shared_ptr<ServerExchange> receiving_;  ///< Its request is still arriving.
   std::deque<std::shared_ptr<ServerExchange>> exchanges_;
-  std::string input_;
+  InputBuffer input_;
   TimePoint last_use_{0};
   TimePoint head_since_{0};
   bool taking_ = true;
@@ -91,10 +94,10 @@
     bytes = std::string_view();
   } else {
     const std::size_t used = consume(bytes);
-    input_.append(bytes.substr(std::min(used, bytes.size())));
-    if (closing()) {
+    if (closing() || !taking_) {
       return;
     }
+    input_.append(bytes.substr(std::min(used, bytes.size())));
   }
   if (!input_.empty()) {
     advance();
@@ -128,7 +131,8 @@
     const ParseStep step = parser_->parse(rest);
     used += step.consumed;
     if (step.state == ParseState::kInvalid || step.state == ParseState::kTooLarge) {
-      respondError(step.state == ParseState::kTooLarge ? 431 : 400);
+      const bool large_head = step.state == ParseState::kTooLarge && !parser_->headDone();
+      respondError(large_head ? kHeadTooLarge : kBadRequest);
       break;
     }
     if (step.state == ParseState::kIncomplete) {
@@ -235,9 +239,10 @@
   if (closing() || parsing_ || input_.empty()) {
     return;
   }
-  const std::string input = std::exchange(input_, std::string());
-  const std::size_t used = consume(input);
-  input_ = input.substr(std::min(used, input.size())) + input_;
+  InputBuffer input = std::exchange(input_, InputBuffer());
+  input.consume(std::min(consume(input.view()), input.size()));
+  input.append(input_.view());
+  input_ = taking_ ? std::move(input) : InputBuffer();
   if (input_.size() <= kMaximumHeldInput) {
     resumeReading();
   }
@@ -307,7 +312,7 @@
       parser_ != nullptr && !parser_->headDone() && now - head_since_ > options.header_timeout;
   const bool idle = atRest() && now - last_use_ > options.idle_timeout;
   if (head_late) {
-    respondError(408);
+    respondError(kRequestTimeout);
   } else if (idle) {
     closeGracefully();
     unregister();
--- a/tests/net/stream/http_client_test.cc
+++ b/tests/net/stream/http_client_test.cc
@@ -220,5 +220,136 @@
   EXPECT_EQ(pool_->idle(), 0U);
 }
 
+struct Cut {
+  const char* name;
+  std::string bytes;
+};
+
+void PrintTo(const Cut& cut, std::ostream* out) {
+  *out << cut.name;
+}
+
+class CutAnswerTest : public HttpClientTest, public testing::WithParamInterface<Cut> {
+ protected:
+  void expectNoAnswer(bool resets, std::size_t body_bytes) {
+    startServer([resets](RawServerConnection& connection) {
+      connection.readHead();
+      connection.send(GetParam().bytes);
+      connection.pause(50);
+      if (resets) {
+        connection.resetOnClose();
+      } else {
+        connection.finishSending();
+        connection.readToEnd();
+      }
+    });
+    const auto client = send(body_bytes);
+    EXPECT_EQ(client->failure, ClientFailure::kNoAnswer);
+    EXPECT_EQ(client->status, 0);
+  }
+};
+
+// Guards against the part of a head that came being passed on as a whole answer.
+TEST_P(CutAnswerTest, ClosedInItsHeadIsNoAnswer) {
+  expectNoAnswer(false, 0);
+}
+
+TEST_P(CutAnswerTest, ResetInItsHeadIsNoAnswer) {
+  expectNoAnswer(true, 0);
+}
+
+TEST_P(CutAnswerTest, ClosedInItsHeadDuringAnUploadIsNoAnswer) {
+  expectNoAnswer(false, kUploadBytes);
+}
+
+TEST_P(CutAnswerTest, ResetInItsHeadDuringAnUploadIsNoAnswer) {
+  expectNoAnswer(true, kUploadBytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cuts, CutAnswerTest,
+    testing::Values(Cut{"AfterTheFirstLine", "HTTP/1.1 200 OK\r\n"}, Cut{"BetweenFields", kHead},
+                    Cut{"InAField", kHead + "Content-Le"},
+                    Cut{"InAValue", kHead + "Content-Length: 1"},
+                    Cut{"BeforeTheLastLineFeed", kHead + "Content-Length: 10\r\n\r"},
+                    Cut{"AfterAnInterimAnswer", "HTTP/1.1 102 Processing\r\n\r\n"},
+                    Cut{"InTheHeadAfterAnInterimAnswer", "HTTP/1.1 102 Processing\r\n\r\n" + kHead},
+                    Cut{"InTheHeadAfterAnotherAnswer",
+                        "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 1\r\n\r\nx" + kHead}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+struct Endless {
+  const char* name;
+  std::string start;
+  std::string repeat;
+  ClientFailure failure;
+};
+
+void PrintTo(const Endless& endless, std::ostream* out) {
+  *out << endless.name;
+}
+
+class EndlessAnswerTest : public HttpClientTest, public testing::WithParamInterface<Endless> {};
+
+// Guards against a request that waits until its deadline, and memory that grows until then, for
+// bytes that cannot become its answer.
+TEST_P(EndlessAnswerTest, IsGivenUpOnceNoAnswerCanCome) {
+  constexpr std::size_t kSentLimit = 64U << 20U;
+  std::atomic<std::size_t> sent{0};
+  startServer([&sent](RawServerConnection& connection) {
+    connection.readHead();
+    connection.send(GetParam().start);
+    std::string block;
+    while (block.size() < 4096) {
+      block += GetParam().repeat;
+    }
+    connection.sendForever(block, kSentLimit);
+    sent = connection.sent();
+  });
+  const auto client = send(0);
+  EXPECT_EQ(client->failure, GetParam().failure);
+  server_.reset();
+  EXPECT_LT(sent, kSentLimit);
+}
+
+const std::string kChunkedHead = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string kOtherHead = "HTTP/1.1 200 OK\r\nRequest-Id: b\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    Parts, EndlessAnswerTest,
+    testing::Values(
+        Endless{"NoHttp", "", "\xff\x01", ClientFailure::kInvalidAnswer},
+        Endless{"FirstLine", "HTTP/1.1 200 ", "x", ClientFailure::kInvalidAnswer},
+        Endless{"Field", kHead + "X: ", "x", ClientFailure::kInvalidAnswer},
+        Endless{"Fields", kHead, "X: y\r\n", ClientFailure::kInvalidAnswer},
+        Endless{"InterimAnswers", "", "HTTP/1.1 102 Processing\r\n\r\n",
+                ClientFailure::kInvalidAnswer},
+        Endless{"OtherAnswersLength", kOtherHead + "Content-Length: 999999999999\r\n\r\n", "x",
+                ClientFailure::kInvalidAnswer},
+        Endless{"OtherAnswersChunks", kOtherHead + "Transfer-Encoding: chunked\r\n\r\n",
+                "4\r\nabcd\r\n", ClientFailure::kInvalidAnswer},
+        Endless{"OtherAnswers", "", kOtherHead + "Content-Length: 1\r\n\r\nx",
+                ClientFailure::kInvalidAnswer},
+        Endless{"OtherAnswerWithoutLength", kOtherHead + "\r\n", "x",
+                ClientFailure::kInvalidAnswer},
+        Endless{"ChunkSize", kChunkedHead, "0", ClientFailure::kBrokenAnswer},
+        Endless{"ChunkExtension", kChunkedHead + "1;a=", "x", ClientFailure::kBrokenAnswer},
+        Endless{"Trailer", kChunkedHead + "0\r\n", "X: y\r\n", ClientFailure::kBrokenAnswer}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// A late answer of ordinary size before the own one is passed over as before.
+TEST_F(HttpClientTest, LargeAnswerToAnotherRequestIsPassedOver) {
+  constexpr std::size_t kOtherBytes = 2U << 20U;
+  startServer([](RawServerConnection& connection) {
+    connection.readHead();
+    connection.send(kOtherHead + lengthField(kOtherBytes) + std::string(kOtherBytes, 'x'));
+    connection.send(kHead + lengthField(3) + "own");
+    connection.readToEnd();
+  });
+  const auto client = send(0);
+  EXPECT_TRUE(client->complete);
+  EXPECT_EQ(client->body, "own");
+}
+
 }  // namespace
 }  // namespace ramppond
