A malformed request does not drop the answers before it

What callers saw: a head or chunk that is malformed, too large or late, behind sound requests on a connection, reset the connection; the requests before it, which may have run, got no answer.

Cause: HttpServerConnection::respondError() answered an error only on a connection without requests under way.

Change: the malformed request is given up alone. Those before it are answered in their order, then comes 400, 408 or 431, and the end. An answer to the malformed request itself that has begun is cut off, a whole one is sent.

--- a/net/stream/http_server.cc
+++ b/net/stream/http_server.cc
@@ -64,6 +64,11 @@
   void onMessageBody(std::string_view data) override;
   std::size_t consume(std::string_view bytes);
   void onRequestComplete();
+  /// Gives up the request that is arriving.
+  void dropReceiving();
+  /// Ends the connection with what was sent of the last answer.
+  void endBegunAnswer(bool whole);
+  void endWithError();
   [[nodiscard]] bool mayBegin(std::string_view input) const;
   void advance();
   void unregister();
@@ -77,6 +82,7 @@
   std::shared_ptr<ServerExchange> receiving_;  ///< Its request is still arriving.
   std::deque<std::shared_ptr<ServerExchange>> exchanges_;
   InputBuffer input_;
+  std::optional<int> error_status_;  ///< Answered once all requests before the error are answered.
   TimePoint last_use_{0};
   TimePoint head_since_{0};
   bool taking_ = true;
@@ -213,7 +219,9 @@
     }
   }
   advancing_ = false;
-  if (!input_.empty() && !parsing_ && !closing()) {
+  if (error_status_ && exchanges_.empty() && !closing()) {
+    endWithError();
+  } else if (!input_.empty() && !parsing_ && !closing()) {
     loop().post([this, self = shared_from_this()] { advance(); });
   } else if (server_.closed() && !parsing_) {
     closeAtRest();
@@ -248,16 +256,48 @@
   }
 }
 
+// The requests before the malformed one are answered first; what follows it is not read.
 void HttpServerConnection::respondError(int status) {
   taking_ = false;
-  if (receiving_ != nullptr || !exchanges_.empty()) {
+  parser_.reset();
+  const auto malformed = receiving_;
+  if (malformed != nullptr && malformed->first_ && malformed->head_sent_) {
+    endBegunAnswer(malformed->finished_);
+    return;
+  }
+  dropReceiving();
+  error_status_ = status;
+  if (exchanges_.empty()) {
+    endWithError();
+  }
+}
+
+void HttpServerConnection::endBegunAnswer(bool whole) {
+  if (whole) {
+    closeGracefully();
+  } else {
     abort(true);
-    detachAll();
-    unregister();
+  }
+  detachAll();
+}
+
+void HttpServerConnection::dropReceiving() {
+  const auto exchange = std::exchange(receiving_, nullptr);
+  if (exchange == nullptr) {
     return;
   }
+  exchanges_.pop_back();
+  server_.under_way_ -= 1;
+  exchange->connection_ = nullptr;
+  const auto handler = std::exchange(exchange->handler_, nullptr);
+  if (handler != nullptr) {
+    handler->onClientGone();
+  }
+}
+
+void HttpServerConnection::endWithError() {
   HttpHead head;
-  head.status = status;
+  head.status = *std::exchange(error_status_, std::nullopt);
   head.content_length = 0;
   write(responseHeadBytes(head, BodyFraming::kLength, true));
   closeGracefully();
--- a/tests/net/stream/http_server_test.cc
+++ b/tests/net/stream/http_server_test.cc
@@ -76,6 +76,22 @@
     }
     return condition();
   }
+  /// Sends as much of `bytes` as the server takes and returns what it answered until its end.
+  std::string exchangeAll(std::string bytes) {
+    const int client = connect("");
+    std::string received;
+    char buffer[4096];
+    ssize_t size = -1;
+    EXPECT_TRUE(turnUntil([&] {
+      const ssize_t sent = ::send(client, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      bytes.erase(0, sent > 0 ? static_cast<std::size_t>(sent) : 0);
+      while ((size = ::recv(client, buffer, sizeof buffer, MSG_DONTWAIT)) > 0) {
+        received.append(buffer, static_cast<std::size_t>(size));
+      }
+      return size == 0 || errno != EAGAIN;
+    })) << "the connection stays open";
+    return received;
+  }
 
   EventLoop loop_;
   Endpoint endpoint_;
@@ -85,6 +101,65 @@
   int gone_ = 0;  ///< Requests whose client was told to be gone.
 };
 
+struct EndlessRequest {
+  const char* name;
+  std::string start;
+  std::string repeat;
+  const char* status;
+};
+
+void PrintTo(const EndlessRequest& request, std::ostream* out) {
+  *out << request.name;
+}
+
+class EndlessRequestTest : public HttpServerTest,
+                           public testing::WithParamInterface<EndlessRequest> {
+ protected:
+  static std::string endless() {
+    constexpr std::size_t kBytes = 400000;
+    std::string bytes = GetParam().start;
+    while (bytes.size() < kBytes) {
+      bytes += GetParam().repeat;
+    }
+    return bytes;
+  }
+};
+
+// Guards against a connection that stays, with what was sent on it, for bytes that cannot become a
+// request.
+TEST_P(EndlessRequestTest, IsRefused) {
+  EXPECT_EQ(exchangeAll(endless()).substr(0, 12), GetParam().status);
+  EXPECT_EQ(server_->underWay(), 0U);
+  EXPECT_EQ(gone_, begun_);
+}
+
+// Guards against the loss of sound requests' answers that are due before on the same connection.
+TEST_P(EndlessRequestTest, DoesNotDropTheAnswersBeforeIt) {
+  const std::string received = exchangeAll(
+      "GET /1 HTTP/1.1\r\nHost: t\r\n\r\nGET /2 HTTP/1.1\r\nHost: t\r\n\r\n" + endless());
+  const std::size_t one = received.find("/1");
+  const std::size_t two = received.find("/2");
+  const std::size_t refusal = received.find(GetParam().status);
+  ASSERT_NE(refusal, std::string::npos) << received;
+  EXPECT_LT(one, two);
+  EXPECT_LT(two, refusal);
+}
+
+const std::string kRequestLine = "GET /endless HTTP/1.1\r\n";
+const std::string kChunkedRequest = kRequestLine + "Host: t\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    Parts, EndlessRequestTest,
+    testing::Values(
+        EndlessRequest{"FirstLine", "GET /", "x", "HTTP/1.1 431"},
+        EndlessRequest{"Field", kRequestLine + "X: ", "x", "HTTP/1.1 431"},
+        EndlessRequest{"Fields", kRequestLine, "X: y\r\n", "HTTP/1.1 431"},
+        EndlessRequest{"ChunkSize", kChunkedRequest, "0", "HTTP/1.1 400"},
+        EndlessRequest{"ChunkExtension", kChunkedRequest + "1;a=", "x", "HTTP/1.1 400"},
+        EndlessRequest{"TrailerField", kChunkedRequest + "0\r\nX: ", "x", "HTTP/1.1 400"},
+        EndlessRequest{"Trailer", kChunkedRequest + "0\r\n", "X: y\r\n", "HTTP/1.1 400"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 // Guards against the part of an answer looking whole to a client of HTTP/1.0, which takes the end
 // of the connection for the end of the answer.
 TEST_F(HttpServerTest, AnswerThatEndsWithItsConnectionIsCutByAReset) {
