Call port: an answer that stops in its head is not whole, and answers are bounded

What callers saw: a back end of the call port that closes inside its answer's head gave its caller the status of the first line with an empty body. A back end that sends without end filled the daemon's memory until the deadline.

Cause: libcurl reports success for a connection that is closed in order inside a head, and bounds neither heads, interim answers nor bodies.

Change: an answer is whole only if the empty line behind its head has come and its status is no interim one. 64 KiB of heads and 64 MiB of body at most. Each status line begins the fields anew.

The forwarding path needed no change: CutHeadsTest (7 cuts, closed and reset, safe, unsafe and upload requests, at the server's machine and at another one), CutAnswerTest and CutHeadTest held on.

Red on, green now: 10 rows of CallPortAnswerTest, 3 of CallPortEndlessAnswerTest, FieldsOfAnInterimAnswerAreNotThoseOfTheAnswer.

--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -14,34 +14,74 @@
 
 constexpr int kPollTimeoutMs = 1000;
 constexpr std::size_t kIdleHandles = 256;
+constexpr char kStatusLineStart[] = "HTTP/";
+constexpr long kFirstFinalStatus = 200;  ///< Below: interim answers (RFC 9110, 15.2).
 
 struct Transfer {
   std::uint64_t id = 0;
   HttpClientRequest request;
   HttpClient::Callback callback;
   HttpClientResult result;
+  std::size_t maximum_body_bytes = 0;
+  std::size_t head_bytes = 0;
+  bool head_complete = false;  ///< Of the last answer, interim ones included.
+  bool too_large = false;
   CURL* handle = nullptr;
   curl_slist* header_list = nullptr;
 };
 
+// What a callback of libcurl returns to end the transfer: not the number of bytes that it was
+// given.
+constexpr std::size_t kEndTransfer = 0;
+
 std::size_t takeBody(char* data, std::size_t size, std::size_t count, void* target) {
-  static_cast<Transfer*>(target)->result.body.append(data, size * count);
+  Transfer& transfer = *static_cast<Transfer*>(target);
+  std::string& body = transfer.result.body;
+  if (body.size() + size * count > transfer.maximum_body_bytes) {
+    transfer.too_large = true;
+    return kEndTransfer;
+  }
+  body.append(data, size * count);
   return size * count;
 }
 
+// Is given one line at a time: the first line and the fields of each answer, the empty line behind
+// them, and the fields of a trailer.
 std::size_t takeHeader(char* data, std::size_t size, std::size_t count, void* target) {
+  Transfer& transfer = *static_cast<Transfer*>(target);
+  transfer.head_bytes += size * count;
+  if (transfer.head_bytes > kMaximumResponseHeadBytes) {
+    transfer.too_large = true;
+    return kEndTransfer;
+  }
   const std::string line(data, size * count);
+  if (line == "\r\n" || line == "\n") {
+    transfer.head_complete = true;
+    return size * count;
+  }
+  if (line.rfind(kStatusLineStart, 0) == 0) {
+    transfer.head_complete = false;
+    transfer.result.headers.clear();
+    return size * count;
+  }
   const auto colon = line.find(':');
   if (colon != std::string::npos) {
     const auto start = line.find_first_not_of(' ', colon + 1);
     const auto end = line.find_last_not_of("\r\n ");
     const bool empty = start == std::string::npos || end < start;
-    static_cast<Transfer*>(target)->result.headers.push_back(
+    transfer.result.headers.push_back(
         {line.substr(0, colon), empty ? "" : line.substr(start, end - start + 1)});
   }
   return size * count;
 }
 
+std::string failureReason(CURLcode code, const Transfer& transfer) {
+  if (transfer.too_large) {
+    return "the answer is too large";
+  }
+  return code == CURLE_OK ? "the answer ended in its head" : curl_easy_strerror(code);
+}
+
 void startCurlOnce() {
   static const CURLcode code = curl_global_init(CURL_GLOBAL_ALL);
   static_cast<void>(code);
@@ -146,6 +186,7 @@
       idle_.pop_back();
     }
     transfer->handle = handle;
+    transfer->maximum_body_bytes = options_.maximum_body_bytes;
     const HttpClientRequest& request = transfer->request;
     transfer->header_list = curl_slist_append(nullptr, "Expect:");
     for (const HttpHeader& header : request.headers) {
@@ -200,9 +241,11 @@
     curl_easy_getinfo(transfer->handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
     HttpClientResult& result = transfer->result;
     result.status = static_cast<int>(status);
-    result.complete = code == CURLE_OK;
+    // libcurl takes a connection that is closed inside a head, or behind an interim answer, for the
+    // end of an answer.
+    result.complete = code == CURLE_OK && transfer->head_complete && status >= kFirstFinalStatus;
     result.never_sent = code != CURLE_OK && sent_bytes == 0;
-    result.reason = code == CURLE_OK ? "" : curl_easy_strerror(code);
+    result.reason = result.complete ? "" : failureReason(code, *transfer);
     release(*transfer);
     transfer->callback(std::move(transfer->result));
   }
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -12,9 +12,14 @@
 
 namespace ramppond {
 
+/// The most that one answer may bring: interim answers, head and trailer, and the body.
+constexpr std::size_t kMaximumResponseHeadBytes = 65536;
+constexpr std::size_t kMaximumResponseBodyBytes = 64U << 20U;
+
 struct HttpClientOptions {
   std::size_t connections_per_host = 110;
   Duration connect_timeout = milliseconds(500);
+  std::size_t maximum_body_bytes = kMaximumResponseBodyBytes;
 };
 
 struct HttpClientRequest {
