A malformed request that has an answer of its own is reset, as before

A caller whose body is malformed got a 503 or 404 in place of a closed connection: ForwardingTest.MalformedInputIsRefusedAnd- ProgramsKeepRunning failed once in the whole suite, and its check is right.

Change: only the answers of the requests before it are kept.

--- a/net/stream/http_server.cc
+++ b/net/stream/http_server.cc
@@ -66,8 +66,6 @@
   void onRequestComplete();
   /// Gives up the request that is arriving.
   void dropReceiving();
-  /// Ends the connection with what was sent of the last answer.
-  void endBegunAnswer(bool whole);
   void endWithError();
   [[nodiscard]] bool mayBegin(std::string_view input) const;
   void advance();
@@ -262,7 +260,8 @@
   parser_.reset();
   const auto malformed = receiving_;
   if (malformed != nullptr && malformed->first_ && malformed->head_sent_) {
-    endBegunAnswer(malformed->finished_);
+    abort(true);
+    detachAll();
     return;
   }
   dropReceiving();
@@ -272,15 +271,6 @@
   }
 }
 
-void HttpServerConnection::endBegunAnswer(bool whole) {
-  if (whole) {
-    closeGracefully();
-  } else {
-    abort(true);
-  }
-  detachAll();
-}
-
 void HttpServerConnection::dropReceiving() {
   const auto exchange = std::exchange(receiving_, nullptr);
   if (exchange == nullptr) {
