--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -47,14 +47,7 @@
   static HttpClientResult answerTo(std::size_t body_bytes, bool resets) {
     RawServer server("127.0.0.1", 0, [resets](RawServerConnection& connection) {
       connection.readHead();
-      connection.send(GetParam().bytes);
-      connection.pause(50);
-      if (resets) {
-        connection.resetOnClose();
-      } else {
-        connection.finishSending();
-        connection.readToEnd();
-      }
+      connection.stopAfter(GetParam().bytes, resets);
     });
     return sendTo(server, body_bytes);
   }
--- a/tests/net/raw_server.h
+++ b/tests/net/raw_server.h
@@ -75,6 +75,18 @@
     while (awaitReadable() && ::recv(socket_, buffer, sizeof buffer, 0) > 0) {
     }
   }
+  /// Sends an answer that stops there: ends the connection by a reset, or in order.
+  void stopAfter(std::string_view bytes, bool resets) {
+    constexpr int kArrivalMs = 50;  // Until the bytes are read.
+    send(bytes);
+    pause(kArrivalMs);
+    if (resets) {
+      resetOnClose();
+      return;
+    }
+    finishSending();
+    readToEnd();
+  }
   /// Sends the end of the stream; reading goes on.
   void finishSending() { ::shutdown(socket_, SHUT_WR); }
   /// The connection will end by a reset, whether or not bytes were left unread.
--- a/tests/net/stream/http_client_test.cc
+++ b/tests/net/stream/http_client_test.cc
@@ -234,14 +234,7 @@
   void expectNoAnswer(bool resets, std::size_t body_bytes) {
     startServer([resets](RawServerConnection& connection) {
       connection.readHead();
-      connection.send(GetParam().bytes);
-      connection.pause(50);
-      if (resets) {
-        connection.resetOnClose();
-      } else {
-        connection.finishSending();
-        connection.readToEnd();
-      }
+      connection.stopAfter(GetParam().bytes, resets);
     });
     const auto client = send(body_bytes);
     EXPECT_EQ(client->failure, ClientFailure::kNoAnswer);
--- a/tests/platform/cut_heads_test.cc
+++ b/tests/platform/cut_heads_test.cc
@@ -24,14 +24,7 @@
  protected:
   void startCutting(bool resets) {
     start([resets](RawServerConnection& connection, const std::string& id) {
-      connection.send(GetParam().bytes(id));
-      connection.pause(50);
-      if (resets) {
-        connection.resetOnClose();
-      } else {
-        connection.finishSending();
-        connection.readToEnd();
-      }
+      connection.stopAfter(GetParam().bytes(id), resets);
     });
   }
   /// The table of own answers gives 502 to a request that may have run, and 503 to one that has
