--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -118,6 +118,7 @@
 
 // Guards against memory that grows with what a back end sends, until the call's deadline.
 TEST_P(CallPortEndlessAnswerTest, IsGivenUpAtTheLimit) {
+  constexpr std::size_t kBlockBytes = 4096;
   constexpr std::size_t kSentLimit = 256U << 20U;
   std::atomic<std::size_t> sent{0};
   HttpClientResult result;
@@ -125,11 +126,7 @@
     RawServer server("127.0.0.1", 0, [&sent](RawServerConnection& connection) {
       connection.readHead();
       connection.send(GetParam().start);
-      std::string block;
-      while (block.size() < 4096) {
-        block += GetParam().repeat;
-      }
-      connection.sendForever(block, kSentLimit);
+      connection.sendForever(repeated(GetParam().repeat, kBlockBytes), kSentLimit);
       sent = connection.sent();
     });
     result = sendTo(server, 0);
--- a/tests/net/raw_server.h
+++ b/tests/net/raw_server.h
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -19,6 +20,15 @@
 
 namespace ramppond {
 
+/// Returns `pattern` as many times as it takes to have `minimum_bytes`.
+inline std::string repeated(std::string_view pattern, std::size_t minimum_bytes) {
+  std::string block;
+  while (block.size() < minimum_bytes) {
+    block += pattern;
+  }
+  return block;
+}
+
 /// One accepted connection, used on its thread. Closed by the destructor.
 class RawServerConnection {
  public:
--- a/tests/net/stream/http_client_test.cc
+++ b/tests/net/stream/http_client_test.cc
@@ -287,16 +287,13 @@
 // Guards against a request that waits until its deadline, and memory that grows until then, for
 // bytes that cannot become its answer.
 TEST_P(EndlessAnswerTest, IsGivenUpOnceNoAnswerCanCome) {
+  constexpr std::size_t kBlockBytes = 4096;
   constexpr std::size_t kSentLimit = 64U << 20U;
   std::atomic<std::size_t> sent{0};
   startServer([&sent](RawServerConnection& connection) {
     connection.readHead();
     connection.send(GetParam().start);
-    std::string block;
-    while (block.size() < 4096) {
-      block += GetParam().repeat;
-    }
-    connection.sendForever(block, kSentLimit);
+    connection.sendForever(repeated(GetParam().repeat, kBlockBytes), kSentLimit);
     sent = connection.sent();
   });
   const auto client = send(0);
--- a/tests/platform/endless_answers_test.cc
+++ b/tests/platform/endless_answers_test.cc
@@ -23,6 +23,7 @@
 // far less than what the server sends in the time.
 constexpr std::size_t kMemoryKibPerConnection = 2048;
 constexpr std::size_t kSentLimit = std::size_t(4) << 30U;
+constexpr std::size_t kBlockBytes = 65536;  ///< Sent at a time.
 constexpr int kPassingPauseMs = 5;
 constexpr Duration kSoundTime = seconds(2);
 // From the deadline until the connection to the server must be closed.
@@ -56,15 +57,11 @@
  protected:
   void SetUp() override {
     start([this](RawServerConnection& connection, const std::string& id) {
-      std::string block;
-      while (block.size() < 65536) {
-        block += GetParam().repeat;
-      }
       connection.send(GetParam().start(id));
       // The client of this test keeps what it is sent, so that a body that passes through is
       // slower.
       const int pause_ms = GetParam().expected == Expected::kCutAtDeadline ? kPassingPauseMs : 0;
-      connection.sendForever(block, kSentLimit, pause_ms);
+      connection.sendForever(repeated(GetParam().repeat, kBlockBytes), kSentLimit, pause_ms);
       sent_ += connection.sent();
       open_ -= 1;
     });
@@ -238,7 +235,7 @@
     if (id.empty()) {
       queries += 1;
       connection.send("HTTP/1.1 200 OK\r\n" + load + "\r\n");
-      connection.sendForever(std::string(65536, 'x'), kSentLimit, 0);
+      connection.sendForever(std::string(kBlockBytes, 'x'), kSentLimit, 0);
       most_sent = std::max<std::size_t>(most_sent, connection.sent());
       return;
     }
