The faulty server of the tests ends before what its threads use

Cause: the threads of a RawServer may still send when a test's body ends. EndlessHealthTest gave them variables of its body, and the fixture ended the server in its own destructor, behind the members of the test's class.

Change: FaultyServerTest::TearDown() ends the server; the variables are members.

--- a/tests/platform/endless_answers_test.cc
+++ b/tests/platform/endless_answers_test.cc
@@ -221,7 +221,11 @@
                 "x", Expected::kComplete}),
     [](const auto& info) { return std::string(info.param.name); });
 
-class EndlessHealthTest : public FaultyServerTest {};
+class EndlessHealthTest : public FaultyServerTest {
+ protected:
+  std::atomic<int> queries_{0};
+  std::atomic<std::size_t> most_sent_{0};  ///< In answer to one query.
+};
 
 // Guards against a health path that sends without end: its query takes a connection of its own, and
 // requests of the server are served meanwhile.
@@ -229,14 +233,12 @@
   // What the buffers of two sockets hold beside what the proxy reads.
   constexpr std::size_t kMostOfOneQuery = 16U << 20U;
   const std::string load = "Server-Load: 1,0,8,200\r\n";
-  std::atomic<int> queries{0};
-  std::atomic<std::size_t> most_sent{0};
-  start([&](RawServerConnection& connection, const std::string& id) {
+  start([this, load](RawServerConnection& connection, const std::string& id) {
     if (id.empty()) {
-      queries += 1;
+      queries_ += 1;
       connection.send("HTTP/1.1 200 OK\r\n" + load + "\r\n");
       connection.sendForever(std::string(kBlockBytes, 'x'), kSentLimit, 0);
-      most_sent = std::max<std::size_t>(most_sent, connection.sent());
+      most_sent_ = std::max<std::size_t>(most_sent_, connection.sent());
       return;
     }
     connection.pause(300);  // Queries are sent while a request runs.
@@ -248,8 +250,8 @@
     const std::string id = "beside-" + std::to_string(number);
     EXPECT_EQ(sendTo(kFaultyMachine, "/safe/x", id, 0, kLongDeadlineMs).status, 200);
   }
-  EXPECT_GT(queries, 0);
-  EXPECT_LT(most_sent, kMostOfOneQuery);
+  EXPECT_GT(queries_, 0);
+  EXPECT_LT(most_sent_, kMostOfOneQuery);
   EXPECT_LT(proxy.peakMemoryKib() - memory_before, kMemoryKibPerConnection);
 }
 
--- a/tests/platform/faulty_server_fixture.cc
+++ b/tests/platform/faulty_server_fixture.cc
@@ -79,6 +79,11 @@
       [this] { return allServe("/one/x") && allServe(std::string("/two") + kSoundTarget); }));
 }
 
+void FaultyServerTest::TearDown() {
+  faulty_.reset();
+  ForwardingTest::TearDown();
+}
+
 bool FaultyServerTest::reachedServer(const std::string& id) {
   const std::lock_guard<std::mutex> lock(mutex_);
   return reached_.count(id) != 0;
--- a/tests/platform/faulty_server_fixture.h
+++ b/tests/platform/faulty_server_fixture.h
@@ -24,6 +24,8 @@
 
   /// Does nothing: a test starts the deployment once it knows how the server answers.
   void SetUp() override {}
+  /// Ends the faulty server, whose threads may use what the fixture of a test owns.
+  void TearDown() override;
   /// Starts the deployment; the faulty server answers by `answering` from then on.
   void start(Answering answering);
   /// Whether the faulty server has read the head of request `id`.
