A connection that its peer has ended or spoiled carries no request

What callers saw: 502 (unknown; connection lost) for a request that no server had read, and that is not tried again if it may not run twice.

Cause: the pool handed a resting connection to the next request until the loop had come to the event by which the peer had closed it, reset it, or sent bytes behind its answer, however long that had waited.

Change: HttpClientPool::start() asks the system whether anything waits to be read, by one recv that takes nothing, and closes such a connection. What is still on its way can cross a request as before; the server has not read that one, or may have: 502 is true.

--- a/net/stream/http_client.cc
+++ b/net/stream/http_client.cc
@@ -413,6 +413,12 @@
   while (!idle_.empty()) {
     const Idle idle = idle_.back();
     idle_.pop_back();
+    if (idle.connection->hasUnreadInput()) {
+      // The peer has closed it, or has sent bytes behind its last answer.
+      idle.connection->abort(false);
+      idle.connection->leavePool();
+      continue;
+    }
     if (idle.until > now && !idle.connection->closing()) {
       exchange->reused_connection_ = true;
       idle.connection->begin(exchange);
--- a/net/stream/http_client.h
+++ b/net/stream/http_client.h
@@ -3,7 +3,8 @@
 //
 // An answer is taken for a request's own only if it echoes the request's id; a surplus answer to
 // an earlier request is passed over, and its connection is not used again. A connection that
-// brings bytes while no request is waiting is closed. So is one that brings more than a bounded
+// brings bytes while no request is waiting is closed, and carries no request if they are there
+// before it. So is one that brings more than a bounded
 // number of bytes before the answer; memory for it is bounded by the head of one answer.
 #pragma once
 
--- a/net/stream/tcp_connection.cc
+++ b/net/stream/tcp_connection.cc
@@ -4,6 +4,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
+
 namespace ramppond {
 namespace {
 
@@ -121,6 +123,15 @@
   }
 }
 
+bool TcpConnection::hasUnreadInput() {
+  if (closed_ || !connected_) {
+    return false;
+  }
+  char byte = 0;
+  const ssize_t size = ::recv(socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  return size >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
 void TcpConnection::pauseReading() {
   paused_ = true;
 }
--- a/net/stream/tcp_connection.h
+++ b/net/stream/tcp_connection.h
@@ -54,6 +54,9 @@
   [[nodiscard]] bool closing() const { return closing_ || closed_; }
   /// Whether nothing more can be sent, although what the peer has sent may still arrive.
   [[nodiscard]] bool writeFailed() const { return write_failed_; }
+  /// Whether bytes, the end of the peer's bytes or an error wait to be read. Asks the system, so
+  /// that an event which the loop has not handled yet is known; reads nothing.
+  [[nodiscard]] bool hasUnreadInput();
 
  protected:
   /// Begins to read; call once the object is held by a shared_ptr and connected.
--- a/tests/net/raw_server.h
+++ b/tests/net/raw_server.h
@@ -104,6 +104,12 @@
     const linger option = {1, 0};
     ::setsockopt(socket_, SOL_SOCKET, SO_LINGER, &option, sizeof option);
   }
+  /// Ends the connection by a reset at once.
+  void reset() {
+    sockaddr none = {};
+    none.sa_family = AF_UNSPEC;
+    ::connect(socket_, &none, sizeof none);
+  }
   /// Waits; returns early when the server stops.
   void pause(int milliseconds) {
     constexpr int kStepMs = 5;
--- a/tests/net/stream/http_client_test.cc
+++ b/tests/net/stream/http_client_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <ostream>
+#include <thread>
 
 #include "tests/net/raw_server.h"
 
@@ -220,6 +221,75 @@
   EXPECT_EQ(pool_->idle(), 0U);
 }
 
+/// What comes on a connection that rests after an answer.
+struct AfterAnswer {
+  const char* name;
+  std::string bytes;
+  bool closes;
+  bool resets;
+};
+
+void PrintTo(const AfterAnswer& after, std::ostream* out) {
+  *out << after.name;
+}
+
+class RestingConnectionTest : public HttpClientTest,
+                              public testing::WithParamInterface<AfterAnswer> {
+ protected:
+  void TearDown() override {
+    may_go_on_ = true;
+    server_.reset();  // Its threads use the members of this class.
+  }
+  std::atomic<bool> may_go_on_{false};
+  std::atomic<bool> has_gone_on_{false};
+};
+
+// Guards against a request that is sent on a connection which the peer has already ended or
+// spoiled, and then counts as one that may have run.
+TEST_P(RestingConnectionTest, CarriesNoRequestOnceAnythingHasArrived) {
+  startServer([this](RawServerConnection& connection) {
+    connection.readHead();
+    connection.send(kHead + lengthField(3) + "own");
+    while (!may_go_on_) {
+      connection.pause(1);
+    }
+    connection.send(GetParam().bytes);
+    if (GetParam().resets) {
+      connection.reset();
+    } else if (GetParam().closes) {
+      connection.finishSending();
+    }
+    has_gone_on_ = true;
+    connection.readToEnd();
+  });
+  ASSERT_TRUE(send(0)->complete);
+  ASSERT_EQ(pool_->idle(), 1U);
+  may_go_on_ = true;
+  while (!has_gone_on_) {
+    std::this_thread::yield();
+  }
+  EXPECT_TRUE(send(0)->complete);
+  EXPECT_EQ(server_->accepted(), 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Events, RestingConnectionTest,
+                         testing::Values(AfterAnswer{"Bytes", "x", false, false},
+                                         AfterAnswer{"Closed", "", true, false},
+                                         AfterAnswer{"BytesAndClosed", "x", true, false},
+                                         AfterAnswer{"Reset", "", false, true}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+TEST_F(HttpClientTest, RestingConnectionOnWhichNothingHasArrivedIsUsedAgain) {
+  startServer([](RawServerConnection& connection) {
+    while (!connection.readHead().empty()) {
+      connection.send(kHead + lengthField(3) + "own");
+    }
+  });
+  EXPECT_TRUE(send(0)->complete);
+  EXPECT_TRUE(send(0)->complete);
+  EXPECT_EQ(server_->accepted(), 1);
+}
+
 struct Cut {
   const char* name;
   std::string bytes;
