HttpClientPool: taking a resting connection is a step of its own; comments

Cause: read as a newcomer, start() held two jobs, and three comments had to be read twice.

Change: takeIdle(). No change of behaviour.

--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -30,7 +30,7 @@
   curl_slist* header_list = nullptr;
 };
 
-// What a callback of libcurl returns to end the transfer: not the number of bytes that it was
+// Makes libcurl end the transfer: a callback returns another number than that of the bytes it was
 // given.
 constexpr std::size_t kEndTransfer = 0;
 
--- a/net/stream/http_client.cc
+++ b/net/stream/http_client.cc
@@ -409,29 +409,35 @@
   if (body_complete) {
     exchange->finishBody();
   }
+  if (const auto connection = takeIdle()) {
+    exchange->reused_connection_ = true;
+    connection->begin(exchange);
+    return exchange;
+  }
+  counters_.connections_opened += 1;
+  auto connection = std::make_shared<HttpClientConnection>(loop_, *this, alive_);
+  exchange->connection_ = connection;
+  connection->open(exchange, options_);
+  return exchange;
+}
+
+std::shared_ptr<HttpClientConnection> HttpClientPool::takeIdle() {
   const TimePoint now = EventLoop::now();
   while (!idle_.empty()) {
     const Idle idle = idle_.back();
     idle_.pop_back();
-    if (idle.connection->hasUnreadInput()) {
-      // The peer has closed it, or has sent bytes behind its last answer.
-      idle.connection->abort(false);
-      idle.connection->leavePool();
-      continue;
+    const bool spoiled = idle.connection->hasUnreadInput();
+    if (!spoiled && idle.until > now && !idle.connection->closing()) {
+      return idle.connection;
     }
-    if (idle.until > now && !idle.connection->closing()) {
-      exchange->reused_connection_ = true;
-      idle.connection->begin(exchange);
-      return exchange;
+    if (spoiled) {
+      idle.connection->abort(false);
+    } else {
+      idle.connection->closeGracefully();
     }
-    idle.connection->closeGracefully();
     idle.connection->leavePool();
   }
-  counters_.connections_opened += 1;
-  auto connection = std::make_shared<HttpClientConnection>(loop_, *this, alive_);
-  exchange->connection_ = connection;
-  connection->open(exchange, options_);
-  return exchange;
+  return nullptr;
 }
 
 void HttpClientPool::release(const std::shared_ptr<HttpClientConnection>& connection,
--- a/net/stream/http_client.h
+++ b/net/stream/http_client.h
@@ -2,10 +2,10 @@
 // request at a time on each.
 //
 // An answer is taken for a request's own only if it echoes the request's id; a surplus answer to
-// an earlier request is passed over, and its connection is not used again. A connection that
-// brings bytes while no request is waiting is closed, and carries no request if they are there
-// before it. So is one that brings more than a bounded
-// number of bytes before the answer; memory for it is bounded by the head of one answer.
+// an earlier request is passed over, and its connection is not used again. A connection that brings
+// more than a bounded number of bytes before the answer is closed; memory for it is bounded by the
+// head of one answer. A resting connection that the peer has closed, or on which it has sent bytes,
+// is closed and carries no request.
 #pragma once
 
 #include <deque>
@@ -124,6 +124,9 @@
     std::shared_ptr<HttpClientConnection> connection;
     TimePoint until{0};
   };
+  /// Takes a resting connection that can carry a request, and closes those found unusable; null if
+  /// there is none.
+  std::shared_ptr<HttpClientConnection> takeIdle();
   void release(const std::shared_ptr<HttpClientConnection>& connection, Duration keep);
   void forget(const HttpClientConnection* connection);
 
--- a/net/stream/http_server.cc
+++ b/net/stream/http_server.cc
@@ -254,7 +254,8 @@
   }
 }
 
-// The requests before the malformed one are answered first; what follows it is not read.
+// The requests before the malformed one are answered first; what follows it is not read. An answer
+// to the malformed request itself that has begun is cut off.
 void HttpServerConnection::respondError(int status) {
   taking_ = false;
   parser_.reset();
