EndlessAnswersTest checks memory where the figure tells something

The address sanitizer holds freed memory back, up to 256 MB, so a program's peak says nothing of what it needs.

Evidence, three connections, sanitized, growth with quarantine_size_mb of 256, 1 and 0: Fields 3.7, 2.4, 0.2 MB; BodyWithoutLength 302, 2.5, 2.4 MB; Chunks 286, 10, 10 MB (that allocator keeps more as well).

All other checks of the rows hold in both. A smaller quarantine was weighed: it finds fewer uses of freed memory, which is what the sanitized run of these rows is for.

--- a/tests/platform/endless_answers_test.cc
+++ b/tests/platform/endless_answers_test.cc
@@ -162,7 +162,9 @@
                     [this](const auto& answer) { return !reachedServer(answer.first); }));
   EXPECT_LE(open_, static_cast<int>(unreached)) << "a connection to the server is still open";
   const std::size_t memory_growth = peakMemoryKib() - memory_before;
-  EXPECT_LT(memory_growth, kMemoryKibPerConnection * static_cast<std::size_t>(connections()));
+  if (kMemoryIsMeasurable) {
+    EXPECT_LT(memory_growth, kMemoryKibPerConnection * static_cast<std::size_t>(connections()));
+  }
   EXPECT_LT(slowest_sound_, kSoundTime);
   EXPECT_GT(sent_, 0U);
   std::cout << GetParam().name << ": " << connections() << " connections, sent " << (sent_ >> 10U)
--- a/tests/platform/program.h
+++ b/tests/platform/program.h
@@ -8,6 +8,14 @@
 
 namespace ramppond::fake_platform {
 
+/// Whether the peak memory of a program tells what it needs. The address sanitizer holds freed
+/// memory back, up to 256 MB of it.
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool kMemoryIsMeasurable = false;
+#else
+constexpr bool kMemoryIsMeasurable = true;
+#endif
+
 /// A child process; killed by the destructor.
 class Program {
  public:
